--- /dev/null
+++ b/src/config/platform.cpp
@@ -0,0 +1,119 @@
+#include "config/platform.h"
+
+#include <charconv>
+#include <fstream>
+#include <sstream>
+
+#include "net/connection.h"
+#include "settings.h"
+
+namespace lemonroute::config {
+namespace {
+
+using nlohmann::json;
+
+std::string plain(const json& value) {
+  std::string text = value.is_string() ? value.get<std::string>() : value.is_null() ? "" : value.dump();
+  for (char& c : text)
+    if (c == ' ' || c == ',' || c == '\n' || c == '\r') c = '_';
+  return text;
+}
+
+void flatten_into(const json& value, const std::string& path, std::string& lines) {
+  std::string prefix = path;
+  if (!prefix.empty()) prefix += '.';
+  if (value.is_object()) {
+    for (const auto& [key, item] : value.items()) flatten_into(item, prefix + key, lines);
+    return;
+  }
+  if (value.is_array() && !value.empty() && value.front().is_object()) {
+    lines += prefix + "count=" + std::to_string(value.size()) + "\n";
+    for (std::size_t i = 0; i < value.size(); ++i)
+      flatten_into(value[i], prefix + std::to_string(i), lines);
+    return;
+  }
+  std::string text;
+  if (value.is_array())
+    for (const auto& item : value) text += (text.empty() ? "" : ",") + plain(item);
+  else text = plain(value);
+  lines += path + "=" + text + "\n";
+}
+
+std::vector<std::string> names(const json& settings, const char* key) {
+  std::vector<std::string> list;
+  for (const auto& item : settings.at(key)) list.push_back(item.get<std::string>());
+  return list;
+}
+
+// Guards against a start with settings whose actions this conductor can't carry out; it would lose requests.
+void check_supported(const Settings& settings) {
+  if (settings.place_ahead) throw ConfigError("settings: extra.early-pairing is not supported on sockets");
+  if (settings.resume) throw ConfigError("settings: extra.resume is not supported on sockets");
+  if (settings.second_copies) throw ConfigError("settings: limits.second-copies is not supported on sockets");
+  if (settings.classes.empty()) throw ConfigError("settings: no classes in lanes");
+}
+
+}  // namespace
+
+std::string flatten(const json& settings) {
+  std::string lines;
+  flatten_into(settings, "", lines);
+  return lines;
+}
+
+Platform parse_platform(const std::string& text) {
+  try {
+    const json config = json::parse(text);
+    Platform platform;
+    platform.name = config.value("name", "");
+    platform.listen = config.value("listen", "");
+    platform.discovery = config.value("discovery", "");
+    const auto seed = config.value("seed", "0");
+    std::from_chars(seed.data(), seed.data() + seed.size(), platform.seed, 16);
+    if (const auto limits = config.find("limits"); limits != config.end())
+      platform.sockets = limits->value("sockets", platform.sockets);
+    const json& settings = config.at("settings");
+    platform.settings = parse_settings(flatten(settings));
+    check_supported(platform.settings);
+    platform.zones = names(settings, "zones");
+    platform.kinds = names(settings, "kinds");
+    platform.connection_idle = Micros(static_cast<Micros::rep>(
+        settings.at("limits").value("conn-idle-us", 15e6)));
+    if (const auto known = config.find("known"); known != config.end() && !known->is_null())
+      platform.known = discovery::parse_list(*known);
+    return platform;
+  } catch (const json::exception& error) {
+    throw ConfigError(error.what());
+  } catch (const SettingsError& error) {
+    throw ConfigError(error.what());
+  } catch (const discovery::ListError& error) {
+    throw ConfigError(std::string("known: ") + error.what());
+  }
+}
+
+Platform load_platform(const std::function<const char*(const char*)>& variable) {
+  const char* path = variable("BALANCER_CONFIG");
+  if (!path) throw ConfigError("BALANCER_CONFIG is not set");
+  std::ifstream file(path);
+  std::ostringstream text;
+  if (!file || !(text << file.rdbuf())) throw ConfigError(std::string(path) + ": cannot be read");
+  Platform platform;
+  try {
+    platform = parse_platform(text.str());
+  } catch (const ConfigError& error) {
+    throw ConfigError(std::string(path) + ": " + error.what());
+  }
+  for (auto [name, field] : {std::pair{"BALANCER_NAME", &platform.name},
+                             std::pair{"BALANCER_LISTEN", &platform.listen},
+                             std::pair{"BALANCER_DISCOVERY", &platform.discovery}})
+    if (const char* value = variable(name)) *field = value;
+  for (auto [name, field] : {std::pair{"listen", &platform.listen}, std::pair{"discovery", &platform.discovery}})
+    try {
+      net::Endpoint{*field};
+    } catch (const std::invalid_argument& error) {
+      throw ConfigError(std::string(name) + ": " + error.what());
+    }
+  return platform;
+}
+
+}  // namespace lemonroute::config
--- /dev/null
+++ b/src/config/platform.h
@@ -0,0 +1,34 @@
+// What the platform tells a conductor at its start.
+#pragma once
+
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "core/types.h"
+#include "discovery/list.h"
+
+namespace lemonroute::config {
+
+struct ConfigError : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+struct Platform {
+  std::string name, listen, discovery;
+  std::uint64_t seed = 0;
+  std::size_t sockets = 1024;
+  Settings settings;
+  std::vector<std::string> zones, kinds;
+  Micros connection_idle{};
+  discovery::NodeList known;
+};
+
+// The path=value lines of the simulator's first message, from the same settings as nested JSON.
+std::string flatten(const nlohmann::json& settings);
+
+Platform parse_platform(const std::string& text);  // throws ConfigError
+// Reads the file that BALANCER_CONFIG names; the other BALANCER_* variables win over it.
+Platform load_platform(const std::function<const char*(const char*)>& variable);
+
+}  // namespace lemonroute::config
--- /dev/null
+++ b/src/core/conductor.cpp
@@ -0,0 +1,404 @@
+#include "core/conductor.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/log.h"
+#include "core/load_report.h"
+
+namespace lemonroute {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// A node that stays silent in the middle of a stream is given up before the client has waited for 5 s.
+constexpr Micros stream_silence = milliseconds(4500);
+constexpr Micros release_again = milliseconds(60);  // between tries to have a state let go
+constexpr Micros release_for = seconds(4);  // the node has certainly dropped it itself, or died, by then
+
+constexpr RequestId request_bits = (RequestId(1) << 52) - 1;
+
+const char* word(Outcome outcome) {
+  switch (outcome) {
+    case Outcome::ok: return "served";
+    case Outcome::read: return "read";
+    case Outcome::timeout: return "timed out";
+    case Outcome::moot: return "moot";
+    case Outcome::full: return "turned away";
+    case Outcome::cancelled: return "cancelled";
+    case Outcome::error: return "error";
+    case Outcome::reset: return "reset";
+    case Outcome::connect_failed: return "could not connect";
+  }
+  return "?";
+}
+
+}  // namespace
+
+// One attempt of a request, on its way.
+struct Conductor::Try : Attempt {
+  Try(Conductor& owner, RequestId of, std::uint16_t number, HostId at, Micros now)
+      : conductor(owner), request(of), number(number), host(at), sent(now) {}
+  void event(std::string_view data) override { conductor.event(*this, data); }
+  void done(const Result& result) override { conductor.done(*this, result); }
+
+  Conductor& conductor;
+  RequestId request;
+  std::uint16_t number;
+  HostId host;
+  Micros sent;
+  bool started = false;
+  std::unique_ptr<Call> call;
+  Timers::Id timer;  // its time-out, and once it streams the watch for silence
+};
+
+struct Conductor::Entry {
+  RequestId id = 0;
+  Prompt prompt;
+  Client* client = nullptr;  // null once answered or gone
+  Micros deadline{};
+  std::uint16_t attempts = 0;
+  std::unique_ptr<Try> out;  // at most one
+  HostId held_at = 0;        // the node of the last read that ended well
+  // A node where a read was cut. It may have ended well in that very moment and hold a state that nobody
+  // told of, so it is asked to let go as soon as no attempt is out.
+  std::optional<HostId> leftover;
+};
+
+struct Conductor::Released {
+  RequestId request = 0;
+  std::string id;
+  HostId holder = 0;
+  Micros until{};
+  std::size_t tries = 0;
+  std::unique_ptr<Call> call;
+  Timers::Id timer;
+};
+
+Conductor::Conductor(Settings settings, std::vector<std::string> zones, std::vector<std::string> kinds,
+                     std::uint64_t seed, const Clock& clock, Nodes& nodes)
+    : settings_(std::move(settings)),
+      zones_(std::move(zones)),
+      kinds_(std::move(kinds)),
+      clock_(clock),
+      nodes_(nodes),
+      scheduler_(settings_, seed) {}
+Conductor::~Conductor() = default;
+
+// ---- The list of nodes ------------------------------------------------------------------------------------
+
+void Conductor::update(ListKind kind, std::uint32_t version, const std::vector<Listed>& listed) {
+  HostList list{kind, version, {}};
+  const auto index = [](const std::vector<std::string>& names, const std::string& name) {
+    const auto found = std::find(names.begin(), names.end(), name);
+    return static_cast<std::uint8_t>(std::min<std::ptrdiff_t>(found - names.begin(), 255));
+  };
+  if (kind != ListKind::delta)
+    for (auto& [id, node] : known_) node.entry.phase = Phase::gone;
+  for (const auto& item : listed) {
+    auto id = static_cast<HostId>(hash_of(item.name));
+    while (known_.count(id) && known_[id].name != item.name) ++id;
+    Node& node = known_[id];
+    node.id = id;
+    node.name = item.name;
+    if (!item.address.empty()) node.address = item.address;
+    node.entry = {id,        index(zones_, item.zone), index(kinds_, item.kind), item.cell, item.phase,
+                  item.weight, item.started};
+    list.hosts.push_back(node.entry);
+  }
+  logging::info() << "list " << version << (kind == ListKind::delta ? ": changes for " : ": whole, ")
+                  << listed.size() << " nodes, " << ready_nodes() << " ready";
+  put(std::move(list));
+}
+
+std::size_t Conductor::ready_nodes() const {
+  return static_cast<std::size_t>(
+      std::count_if(known_.begin(), known_.end(), [](const auto& node) { return node.second.ready(); }));
+}
+
+Role Conductor::role(HostId id) const {
+  const auto found = known_.find(id);
+  if (found == known_.end() || found->second.entry.kind >= settings_.kind_role.size()) return Role::both;
+  return settings_.kind_role[found->second.entry.kind];
+}
+
+// ---- Requests ---------------------------------------------------------------------------------------------
+
+Conductor::Entry* Conductor::find(RequestId id) {
+  const auto found = requests_.find(id);
+  return found == requests_.end() ? nullptr : found->second.get();
+}
+
+Conductor::Taken Conductor::take(const Inquiry& inquiry, Client& client, RequestId& id) {
+  const auto named = [](const auto& list, const std::string& name) {
+    return std::find_if(list.begin(), list.end(), [&](auto& one) { return one.name == name; }) - list.begin();
+  };
+  const auto cls = static_cast<std::size_t>(named(settings_.classes, inquiry.kind));
+  if (cls >= settings_.classes.size()) return Taken::unknown_kind;
+  // Guards against a client that repeats an id while the first is open: nodes know a request by its id, and
+  // two under one name would be two attempts out at once.
+  if (by_name_.count(inquiry.prompt.id)) return Taken::duplicate;
+  id = hash_of(inquiry.prompt.id) & request_bits;
+  while (requests_.count(id)) id = (id + 1) & request_bits;
+  by_name_[inquiry.prompt.id] = id;
+
+  Request request;
+  request.id = id;
+  request.cls = static_cast<std::uint16_t>(cls);
+  request.tenant = static_cast<std::uint16_t>(named(settings_.tenants, inquiry.tenant));
+  request.session = inquiry.session;
+  request.shared = inquiry.shared;
+  request.budget = inquiry.budget > Micros(0) ? inquiry.budget : settings_.classes[cls].deadline;
+  request.prompt = static_cast<float>(inquiry.prompt_tokens);
+  request.shared_prefix = static_cast<float>(inquiry.shared_tokens);
+  request.max_output = static_cast<float>(inquiry.max_output);
+  request.flags = static_cast<std::uint8_t>((inquiry.repeat ? 2 : 0) | (inquiry.resumed ? 16 : 0));
+
+  auto entry = std::make_unique<Entry>();
+  entry->id = id;
+  entry->prompt = inquiry.prompt;
+  entry->client = &client;
+  entry->deadline = clock_.now() + request.budget;
+  requests_[id] = std::move(entry);
+  ++open_;
+  put(request);
+  return Taken::yes;
+}
+
+void Conductor::gone(RequestId id) {
+  Entry* entry = find(id);
+  if (!entry || !entry->client) return;
+  end(*entry);
+  // A stream that nobody reads ends; the module does not cancel what has started.
+  if (entry->out && entry->out->started) done(*entry->out, {Outcome::cancelled, 0, {}, "the client has gone"});
+  put(Abandoned{id});
+}
+
+void Conductor::drained(RequestId id) {
+  const Entry* entry = find(id);
+  if (entry && entry->out && entry->out->call) entry->out->call->hold_back(false);
+}
+
+void Conductor::end(Entry& entry) {
+  entry.client = nullptr;
+  --open_;
+}
+
+// ---- Events to the Scheduler, actions from it -------------------------------------------------------------
+
+// Calls come back into the core from whatever it calls. What they bring waits here in order, so that the
+// Scheduler sees one event at a time.
+void Conductor::put(Event event) {
+  events_.push_back(std::move(event));
+  pump();
+}
+
+void Conductor::pump() {
+  if (pumping_) return;
+  pumping_ = true;
+  std::vector<Action> actions;
+  while (!events_.empty()) {
+    const Event event = std::move(events_.front());
+    events_.pop_front();
+    std::visit(
+        [&](const auto& one) {
+          if constexpr (requires { one.id; }) touched_.push_back(one.id);
+        },
+        event);
+    actions.clear();
+    scheduler_.handle(clock_.now(), event, actions);
+    for (const auto& action : actions) std::visit([&](const auto& one) { act(one); }, action);
+    if (events_.empty()) settle();
+  }
+  pumping_ = false;
+  if (on_change) on_change();
+}
+
+void Conductor::run_due() {
+  timers_.run(clock_.now());
+  if (on_change) on_change();
+}
+
+// Once all events are handled: frees what a cut read may have left, and forgets requests that are over.
+void Conductor::settle() {
+  for (const RequestId id : std::exchange(touched_, {})) {
+    Entry* entry = find(id);
+    if (!entry || entry->out) continue;
+    if (entry->leftover) start_release(*entry, *std::exchange(entry->leftover, std::nullopt));
+    if (entry->client) continue;
+    by_name_.erase(entry->prompt.id);
+    requests_.erase(id);
+  }
+}
+
+void Conductor::act(const Send& send) {
+  Entry* entry = find(send.id);
+  const auto node = known_.find(send.host);
+  const Micros now = clock_.now();
+  const auto number = entry ? entry->attempts++ : std::uint16_t(0);
+  const auto answer = [&](Outcome outcome) {
+    events_.push_back(Completed{send.id, outcome, !entry || !entry->client, Micros(0), send.host, 0, number, {}});
+  };
+  // The module keeps these rules itself; a slip there must not reach a node.
+  if (!entry || !entry->client || entry->out || now >= entry->deadline || number >= settings_.max_attempts)
+    return answer(Outcome::moot);
+  if (node == known_.end() || !node->second.ready()) return answer(Outcome::connect_failed);
+  const Micros left = entry->deadline - now;
+  const Micros within = send.within > Micros(0) ? std::min(send.within, left) : left;
+  entry->out = std::make_unique<Try>(*this, send.id, number, send.host, now);
+  Try& attempt = *entry->out;
+  logging::debug() << entry->prompt.id << " attempt " << number << " to " << node->second.name;
+  attempt.timer = timers_.add(now + within, [this, &attempt] { timed_out(attempt); });
+  attempt.call = nodes_.begin(node->second, entry->prompt, within, attempt);
+}
+
+void Conductor::act(const Refuse& refuse) {
+  Entry* entry = find(refuse.id);
+  if (!entry || !entry->client) return;
+  Client& client = *entry->client;
+  end(*entry);
+  touched_.push_back(refuse.id);
+  client.refuse(refuse.stay_away);
+}
+
+void Conductor::act(const Fail& fail) {
+  Entry* entry = find(fail.id);
+  if (!entry || !entry->client) return;
+  Client& client = *entry->client;
+  end(*entry);
+  touched_.push_back(fail.id);
+  client.fail(clock_.now() >= entry->deadline ? Failure::timed_out : Failure::gave_up);
+}
+
+void Conductor::act(const Cancel& cancel) {
+  Entry* entry = find(cancel.id);
+  if (!entry || !entry->out || entry->out->number != cancel.attempt || entry->out->started) return;
+  done(*entry->out, {Outcome::cancelled, 0, {}, "called off"});
+}
+
+void Conductor::act(const Sleep& sleep) {
+  timers_.add(clock_.now() + sleep.after, [this, cookie = sleep.cookie] { put(Alarm{cookie}); });
+}
+
+void Conductor::act(const Probe& probe) {
+  const auto node = known_.find(probe.host);
+  if (node == known_.end()) return;
+  const auto number = next_probe_++;
+  const Micros sent = clock_.now();
+  auto call = nodes_.probe(node->second, [this, number, sent, host = probe.host](const Result& result) {
+    probes_.erase(number);
+    put(HealthResult{host, result.outcome, clock_.now() - sent,
+                     parse_load(result.load, settings_.report_columns)});
+  });
+  probes_[number] = std::move(call);
+}
+
+void Conductor::act(const HangUp& hang_up) {
+  const auto node = known_.find(hang_up.host);
+  if (node != known_.end()) nodes_.hang_up(node->second);
+}
+
+void Conductor::act(const Log& log) { logging::info() << "module: " << log.line; }
+
+void Conductor::act(const Release& release) {
+  Entry* entry = find(release.id);
+  if (!entry) return;
+  entry->leftover.reset();
+  start_release(*entry, entry->held_at);
+}
+
+// ---- Attempts ---------------------------------------------------------------------------------------------
+
+void Conductor::event(Try& attempt, std::string_view data) {
+  Entry& entry = *find(attempt.request);
+  timers_.drop(attempt.timer);
+  attempt.timer = timers_.add(clock_.now() + stream_silence, [this, &attempt] { stalled(attempt); });
+  if (!std::exchange(attempt.started, true)) {
+    entry.leftover.reset();
+    put(First{attempt.request, attempt.host, attempt.number, clock_.now() - attempt.sent});
+  }
+  if (entry.client && !entry.client->event(data) && entry.out) entry.out->call->hold_back(true);
+}
+
+void Conductor::done(Try& attempt, const Result& result) {
+  Entry& entry = *find(attempt.request);
+  timers_.drop(attempt.timer);
+  const std::unique_ptr<Try> ended = std::move(entry.out);
+  const auto node = known_.find(attempt.host);
+  logging::debug() << entry.prompt.id << " attempt " << attempt.number << " at " << node->second.name << ": "
+                   << word(result.outcome) << (result.detail.empty() ? "" : ", ") << result.detail;
+  if (result.outcome == Outcome::error || result.outcome == Outcome::reset)
+    logging::info() << "node " << node->second.name << ": attempt " << word(result.outcome) << ", "
+                    << result.detail;
+  const bool never_ran = result.outcome == Outcome::full || result.outcome == Outcome::connect_failed ||
+                         result.outcome == Outcome::moot;
+  if (result.outcome == Outcome::read) entry.held_at = attempt.host;
+  else if (!never_ran && role(attempt.host) != Role::write && !attempt.started)
+    entry.leftover = attempt.host;
+  Client* client = entry.client;
+  const bool finished = !client || result.outcome == Outcome::ok || attempt.started;
+  if (client && finished) end(entry);
+  Completed completed{attempt.request, result.outcome, finished, clock_.now() - attempt.sent, attempt.host,
+                      result.kept,     attempt.number, parse_load(result.load, settings_.report_columns)};
+  ended->call.reset();
+  if (client && result.outcome == Outcome::ok) client->finish();
+  else if (client && finished) client->cut();
+  put(std::move(completed));
+}
+
+void Conductor::stalled(Try& attempt) { done(attempt, {Outcome::reset, 0, {}, "the stream fell silent"}); }
+void Conductor::timed_out(Try& attempt) { done(attempt, {Outcome::timeout, 0, {}, "no answer in time"}); }
+
+// ---- What is held at nodes --------------------------------------------------------------------------------
+
+void Conductor::start_release(Entry& entry, HostId holder) {
+  Released& released = releases_.emplace_back();
+  released.request = entry.id;
+  released.id = entry.prompt.id;
+  released.holder = holder;
+  released.until = clock_.now() + release_for;
+  try_release(released);
+}
+
+// Asks the holder first. If it can't be reached, every other node may be asked as well, in turn.
+void Conductor::try_release(Released& released) {
+  const Entry* entry = find(released.request);
+  // Guards the state of a later read: while an attempt is out nothing counts as left, and the call would
+  // take away what that attempt is about to use.
+  const bool wait = released.tries > 0 && entry && entry->out;
+  if (entry && entry->out && entry->out->started) return drop_release(released);
+  const auto again = [this, &released] {
+    if (clock_.now() >= released.until) {
+      logging::warn() << "state of " << released.id << " could not be let go";
+      return drop_release(released);
+    }
+    released.timer = timers_.add(clock_.now() + release_again, [this, &released] { try_release(released); });
+  };
+  if (wait) return again();
+  const Node* node = nullptr;
+  if (const auto holder = known_.find(released.holder); released.tries % 2 == 0 && holder != known_.end())
+    node = &holder->second;
+  else if (const auto ready = ready_nodes(); ready > 0) {
+    auto nth = (released.tries / 2) % ready;
+    for (const auto& [id, one] : known_)
+      if (one.ready() && nth-- == 0) {
+        node = &one;
+        break;
+      }
+  }
+  ++released.tries;
+  if (!node) return again();
+  released.call = nodes_.release(*node, released.id, [this, &released, again](bool arrived) {
+    if (arrived) drop_release(released);
+    else again();
+    if (on_change) on_change();
+  });
+}
+
+void Conductor::drop_release(Released& released) {
+  timers_.drop(released.timer);
+  releases_.remove_if([&](const Released& one) { return &one == &released; });
+}
+
+}  // namespace lemonroute
--- /dev/null
+++ b/src/core/conductor.h
@@ -0,0 +1,103 @@
+// The core: requests, their attempts and timers, the list of nodes and what is held at them. It puts events
+// to the Scheduler and carries its actions out. It decides nothing and knows no protocol.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <list>
+#include <map>
+#include <optional>
+#include <unordered_map>
+
+#include "core/timers.h"
+#include "core/types.h"
+
+namespace lemonroute {
+
+class Conductor {
+ public:
+  Conductor(Settings settings, std::vector<std::string> zones, std::vector<std::string> kinds,
+            std::uint64_t seed, const Clock& clock, Nodes& nodes);
+  ~Conductor();
+  Conductor(const Conductor&) = delete;
+  Conductor& operator=(const Conductor&) = delete;
+
+  // ---- for discovery ----
+  struct Listed {
+    std::string name, address, zone, kind;
+    std::uint16_t cell = 0;
+    Phase phase = Phase::ready;
+    float weight = 1;
+    Micros started{};
+  };
+  void update(ListKind kind, std::uint32_t version, const std::vector<Listed>& listed);
+
+  // ---- for fronts ----
+  enum class Taken { yes, unknown_kind, duplicate };
+  // Takes a request; its one answer goes to `client`. Unless it says yes, nothing was taken.
+  Taken take(const Inquiry& inquiry, Client& client, RequestId& id);
+  void gone(RequestId id);     // the client has gone: it is told nothing more
+  void drained(RequestId id);  // the client can take more events
+
+  // ---- for the loop ----
+  std::optional<Micros> next_due() const { return timers_.next(); }
+  void run_due();
+  std::function<void()> on_change;  // after anything that may have moved next_due, or made it idle
+
+  std::size_t open() const { return open_; }  // requests taken and not answered
+  bool idle() const { return requests_.empty() && releases_.empty(); }
+  std::size_t ready_nodes() const;
+
+ private:
+  struct Try;
+  struct Entry;
+  struct Released;
+
+  void put(Event event);
+  void pump();
+  void act(const Send& send);
+  void act(const Refuse& refuse);
+  void act(const Fail& fail);
+  void act(const Cancel& cancel);
+  void act(const Sleep& sleep);
+  void act(const Probe& probe);
+  void act(const HangUp& hang_up);
+  void act(const Log& log);
+  void act(const Release& release);
+  void act(const Evict&) {}      // the settings that allow these are refused at the start
+  void act(const SetAside&) {}
+  void act(const Tell&) {}
+  void act(const Subscribe&) {}  // the watch is always on here
+  void act(const Snapshot&) {}
+
+  void event(Try& attempt, std::string_view data);
+  void done(Try& attempt, const Result& result);
+  void stalled(Try& attempt);
+  void timed_out(Try& attempt);
+  void end(Entry& entry);
+  void settle();
+  void start_release(Entry& entry, HostId holder);
+  void try_release(Released& released);
+  void drop_release(Released& released);
+  Role role(HostId id) const;
+  Entry* find(RequestId id);
+
+  Settings settings_;
+  std::vector<std::string> zones_, kinds_;
+  const Clock& clock_;
+  Nodes& nodes_;
+  Scheduler scheduler_;
+  Timers timers_;
+  std::map<HostId, Node> known_;
+  std::unordered_map<RequestId, std::unique_ptr<Entry>> requests_;
+  std::unordered_map<std::string, RequestId> by_name_;
+  std::list<Released> releases_;
+  std::map<std::uint64_t, std::unique_ptr<Call>> probes_;
+  std::uint64_t next_probe_ = 0;
+  std::size_t open_ = 0;
+  std::deque<Event> events_;
+  std::vector<RequestId> touched_;
+  bool pumping_ = false;
+};
+
+}  // namespace lemonroute
--- /dev/null
+++ b/src/core/load_report.cpp
@@ -0,0 +1,58 @@
+#include "core/load_report.h"
+
+#include <array>
+#include <charconv>
+#include <cmath>
+#include <limits>
+#include <utility>
+
+namespace lemonroute {
+namespace {
+
+// Names on the sockets, and what the settings call the same columns.
+constexpr std::array<std::pair<std::string_view, std::string_view>, 6> also{{{"inflight", "active"},
+                                                                             {"queue", "waiting"},
+                                                                             {"util", "cpu"},
+                                                                             {"latency_ms", "avg_ms"},
+                                                                             {"qps", "rps"},
+                                                                             {"eps", "err_rps"}}};
+
+bool same_column(std::string_view said, std::string_view column) {
+  if (said == column) return true;
+  for (const auto& [one, other] : also)
+    if ((said == one && column == other) || (said == other && column == one)) return true;
+  return false;
+}
+
+std::string_view trim(std::string_view text) {
+  const auto first = text.find_first_not_of(" \t");
+  if (first == std::string_view::npos) return {};
+  return text.substr(first, text.find_last_not_of(" \t") - first + 1);
+}
+
+}  // namespace
+
+std::vector<float> parse_load(std::string_view report, const std::vector<std::string>& columns) {
+  std::vector<float> values(columns.size(), std::numeric_limits<float>::quiet_NaN());
+  bool any = false;
+  while (!report.empty()) {
+    const auto comma = report.find(',');
+    const std::string_view item = report.substr(0, comma);
+    report.remove_prefix(comma == std::string_view::npos ? report.size() : comma + 1);
+    const auto equals = item.find('=');
+    if (equals == std::string_view::npos) continue;
+    const auto name = trim(item.substr(0, equals)), text = trim(item.substr(equals + 1));
+    float value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (error != std::errc() || end != text.data() + text.size() || !std::isfinite(value)) continue;
+    for (std::size_t i = 0; i < columns.size(); ++i)
+      if (same_column(name, columns[i])) {
+        values[i] = value;
+        any = true;
+      }
+  }
+  if (!any) values.clear();
+  return values;
+}
+
+}  // namespace lemonroute
--- /dev/null
+++ b/src/core/types.h
@@ -0,0 +1,118 @@
+// What the core and the fronts, node clients and discovery say to each other. Nothing here names a protocol.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "snowflow/scheduler.h"
+
+namespace lemonroute {
+
+using namespace snowflow;
+
+// The time that the Scheduler is given: it starts from the system's clock, in which nodes state when they
+// started, and then goes on steadily.
+class Clock {
+ public:
+  virtual ~Clock() = default;
+  virtual Micros now() const = 0;
+};
+
+class SystemClock : public Clock {
+ public:
+  Micros now() const override {
+    return offset_ +
+           std::chrono::duration_cast<Micros>(std::chrono::steady_clock::now().time_since_epoch());
+  }
+
+ private:
+  Micros offset_ = std::chrono::duration_cast<Micros>(std::chrono::system_clock::now().time_since_epoch() -
+                                                      std::chrono::steady_clock::now().time_since_epoch());
+};
+
+// What is sent to a node, the same at every attempt.
+struct Prompt {
+  std::string id;      // as the client gave it
+  std::string target;  // where the client asked for it
+  std::shared_ptr<const std::string> body;
+};
+
+// A client's request.
+struct Inquiry {
+  Prompt prompt;
+  std::string kind;  // name of the class
+  std::string tenant;
+  Key session = 0, shared = 0;
+  Micros budget{};  // how long the client waits for the first event; 0 = as long as its class allows
+  double prompt_tokens = 0, shared_tokens = 0, max_output = 0;
+  bool repeat = false, resumed = false;
+};
+
+enum class Failure {
+  timed_out,   // nothing came before the client's deadline
+  gave_up,     // the module ended the request
+  overloaded,  // too many requests are open here
+};
+
+// A key as a number: hexadecimal digits as they are, any other text by its hash. 0 = none.
+Key key_of(std::string_view text);
+std::uint64_t hash_of(std::string_view text);  // the same in every process
+
+// Where the answer to one request goes. Exactly one of finish, refuse, fail and cut ends it, and none of
+// them is called after Conductor::gone. None of them may call the Conductor's gone from within.
+class Client {
+ public:
+  virtual ~Client() = default;
+  virtual bool event(std::string_view data) = 0;  // false: hold the rest back until Conductor::drained
+  virtual void finish() = 0;                      // the stream is whole
+  virtual void refuse(Micros stay_away) = 0;      // trying again is harmless
+  virtual void fail(Failure why) = 0;
+  virtual void cut() = 0;  // the stream broke after its first event
+};
+
+struct Node {
+  HostId id = 0;
+  std::string name, address;
+  ListEntry entry;
+  bool ready() const { return entry.phase == Phase::ready; }
+};
+
+// How an attempt ended at a node.
+struct Result {
+  Outcome outcome = Outcome::error;
+  std::uint32_t kept = 0;  // prompt tokens found kept; for Outcome::full, 1 = there was no state
+  std::string load;        // the report that came along, "name=value,..."
+  std::string detail;      // for the log
+};
+
+class Attempt {
+ public:
+  virtual ~Attempt() = default;
+  virtual void event(std::string_view data) = 0;
+  virtual void done(const Result& result) = 0;  // once, and never from within begin
+};
+
+// A call to a node that is under way. Letting go of it gives the call up.
+class Call {
+ public:
+  virtual ~Call() = default;
+  virtual void hold_back(bool) {}  // backpressure of a stream
+};
+
+class Nodes {
+ public:
+  virtual ~Nodes() = default;
+  virtual std::unique_ptr<Call> begin(const Node& node, const Prompt& prompt, Micros within,
+                                      Attempt& attempt) = 0;
+  // Asks for all that is held for the request to be let go; `done` with false if the call never arrived.
+  virtual std::unique_ptr<Call> release(const Node& node, const std::string& id,
+                                        std::function<void(bool)> done) = 0;
+  virtual std::unique_ptr<Call> probe(const Node& node, std::function<void(const Result&)> done) = 0;
+  virtual void hang_up(const Node& node) = 0;  // closes the idle connections
+};
+
+}  // namespace lemonroute
--- /dev/null
+++ b/src/discovery/list.cpp
@@ -0,0 +1,57 @@
+#include "discovery/list.h"
+
+#include <cmath>
+
+#include "net/connection.h"
+
+namespace lemonroute::discovery {
+namespace {
+
+using nlohmann::json;
+
+Phase parse_phase(const std::string& word) {
+  if (word == "active") return Phase::ready;
+  if (word == "leaving") return Phase::draining;
+  if (word == "left") return Phase::gone;
+  throw ListError("lifecycle '" + word + "' is not known");
+}
+
+Conductor::Listed parse_node(const json& item) {
+  Conductor::Listed node;
+  node.name = item.at("instanceId").get<std::string>();
+  if (node.name.empty()) throw ListError("an instanceId is empty");
+  node.phase = parse_phase(item.at("lifecycle").get<std::string>());
+  node.address = item.value("hostPort", "");
+  if (node.phase != Phase::gone || !node.address.empty()) net::Endpoint{node.address};  // throws if it is none
+  node.zone = item.value("zone", "");
+  node.kind = item.value("machineType", "");
+  node.cell = item.value("cell", std::uint16_t(0));
+  node.weight = item.value("weight", 1.0f);
+  if (!std::isfinite(node.weight)) throw ListError("a weight is no number");
+  node.started = std::chrono::milliseconds(item.value("startedAtMs", std::int64_t(0)));
+  return node;
+}
+
+}  // namespace
+
+NodeList parse_list(const json& json) {
+  try {
+    NodeList list;
+    list.version = json.at("generation").get<std::uint32_t>();
+    list.whole = json.value("reset", false);
+    for (const auto& item : json.at("instances")) list.nodes.push_back(parse_node(item));
+    return list;
+  } catch (const nlohmann::json::exception& error) {
+    throw ListError(error.what());
+  } catch (const std::invalid_argument& error) {
+    throw ListError(error.what());
+  }
+}
+
+NodeList parse_list_text(std::string_view text) {
+  const json parsed = json::parse(text, nullptr, false);
+  if (!parsed.is_object()) throw ListError("it is no JSON object");
+  return parse_list(parsed);
+}
+
+}  // namespace lemonroute::discovery
--- /dev/null
+++ b/src/discovery/watch.h
@@ -0,0 +1,33 @@
+// Keeps the core's list of nodes up to date by watching discovery.
+#pragma once
+
+#include "core/conductor.h"
+#include "http/client.h"
+
+namespace lemonroute::discovery {
+
+class Watch : http::Listener {
+ public:
+  Watch(net::Loop& loop, std::string address, Conductor& conductor);
+  void start() { ask(); }
+
+ private:
+  void ask();
+  void head(const http::Head& head) override { status_ = head.status; }
+  void body(std::string_view piece) override;
+  void ended(http::Ending how) override;
+  void failed(std::string_view why);
+  void take();
+
+  std::string address_;
+  Conductor& conductor_;
+  http::Client client_;
+  net::Timer again_, overdue_;
+  std::unique_ptr<http::Exchange> exchange_;
+  std::uint32_t version_ = 0;
+  bool has_list_ = false, well_ = true;
+  int status_ = 0;
+  std::string text_;
+};
+
+}  // namespace lemonroute::discovery
--- /dev/null
+++ b/src/http/client.cpp
@@ -0,0 +1,166 @@
+#include "http/client.h"
+
+namespace lemonroute::http {
+
+class PooledConnection : net::Connection::Handler {
+ public:
+  PooledConnection(Client& owner, const std::string& address)
+      : owner_(owner),
+        address_(address),
+        timer_(owner.loop_, [this] { on_timer(); }),
+        connection_(owner.loop_, net::Endpoint(address), *this) {}
+
+  void start(Exchange& exchange, Listener& listener, std::string_view head,
+             std::shared_ptr<const std::string> body) {
+    exchange_ = &exchange;
+    listener_ = &listener;
+    exchange.connection_ = this;
+    has_head_ = false;
+    if (!connected_) timer_.start(connection_.started() ? owner_.limits_.connect_timeout : microseconds(0));
+    else timer_.stop();
+    if (!connection_.started()) return;
+    connection_.write(head);
+    if (body) connection_.write(std::move(body));
+  }
+  void rest() { timer_.start(owner_.limits_.idle); }
+  void drop_exchange() {
+    exchange_ = nullptr;
+    if (connection_.started()) connection_.end_sending();  // gives the request up before anything else is sent
+    owner_.discard(*this);
+  }
+  void hold_back(bool on) { connection_.read(!on); }
+  const std::string& address() const { return address_; }
+
+ private:
+  void on_connected() override {
+    connected_ = true;
+    timer_.stop();
+  }
+  void on_timer() { end(Ending::not_sent); }  // connecting took too long, or it was idle long enough
+
+  void on_readable() override {
+    if (!exchange_) return end(Ending::malformed);  // nobody asked
+    if (!has_head_ && !take_head()) return;
+    if (!exchange_) return;
+    const auto state = body_.take(connection_.input(), [this](std::string_view piece) {
+      listener_->body(piece);
+      return exchange_ != nullptr;
+    });
+    if (!exchange_) return;
+    if (state == Body::State::fault) return end(Ending::malformed);
+    if (state == Body::State::whole) finish();
+  }
+
+  bool take_head() {
+    for (;;) {
+      const HeadScan scan = scan_head(connection_.input(), Kind::answer, scanned_);
+      if (scan.state == Scan::more) return false;
+      std::optional<Body> body;
+      if (scan.state == Scan::head) body = Body::of_answer(scan.head);
+      if (!body) {
+        end(Ending::malformed);
+        return false;
+      }
+      if (scan.head.status >= 200) {
+        body_ = *body;
+        closes_ = scan.head.closes() || body_.until_close();
+        has_head_ = true;
+        listener_->head(scan.head);
+        if (exchange_) evbuffer_drain(connection_.input(), scan.length);
+        return true;
+      }
+      evbuffer_drain(connection_.input(), scan.length);  // an interim answer
+    }
+  }
+
+  void on_closed() override {
+    if (exchange_ && has_head_ && body_.until_close()) return end(Ending::whole);
+    // Bytes that never left prove that the node has not run the request.
+    end(!connected_ || connection_.unsent() > 0 ? Ending::not_sent : Ending::broken);
+  }
+
+  // The answer is whole; the connection can serve again if both sides are through with this exchange.
+  void finish() {
+    const bool reusable = !closes_ && connection_.unsent() == 0 && evbuffer_get_length(connection_.input()) == 0;
+    Listener& listener = *listener_;
+    exchange_->connection_ = nullptr;
+    exchange_ = nullptr;
+    if (reusable) {
+      connection_.read(true);
+      owner_.idle(*this);
+    } else {
+      owner_.discard(*this);
+    }
+    listener.ended(Ending::whole);
+  }
+
+  void end(Ending how) {
+    Listener* listener = exchange_ ? listener_ : nullptr;
+    if (exchange_) exchange_->connection_ = nullptr;
+    exchange_ = nullptr;
+    timer_.stop();
+    owner_.discard(*this);
+    if (listener) listener->ended(how);
+  }
+
+  Client& owner_;
+  std::string address_;
+  net::Timer timer_;
+  Exchange* exchange_ = nullptr;
+  Listener* listener_ = nullptr;
+  bool connected_ = false, has_head_ = false, closes_ = false;
+  std::size_t scanned_ = 0;
+  Body body_;
+  net::Connection connection_;
+};
+
+Exchange::~Exchange() {
+  if (connection_) connection_->drop_exchange();
+}
+void Exchange::hold_back(bool on) {
+  if (connection_) connection_->hold_back(on);
+}
+
+Client::Client(net::Loop& loop, ClientLimits limits) : loop_(loop), limits_(limits) {}
+Client::~Client() = default;
+
+std::unique_ptr<Exchange> Client::start(const std::string& address, std::string_view head,
+                                        std::shared_ptr<const std::string> body, Listener& listener) {
+  PooledConnection* connection = nullptr;
+  auto& idle = idle_[address];
+  if (!idle.empty()) {
+    connection = idle.front();
+    idle.pop_front();
+  } else {
+    auto made = std::make_unique<PooledConnection>(*this, address);
+    connection = made.get();
+    all_[connection] = std::move(made);
+  }
+  auto exchange = std::make_unique<Exchange>();
+  connection->start(*exchange, listener, head, std::move(body));
+  return exchange;
+}
+
+void Client::hang_up(const std::string& address) {
+  const auto found = idle_.find(address);
+  if (found == idle_.end()) return;
+  const auto connections = found->second;
+  for (auto* connection : connections) discard(*connection);
+}
+
+void Client::idle(PooledConnection& connection) {
+  auto& idle = idle_[connection.address()];
+  idle.push_front(&connection);
+  connection.rest();
+  if (idle.size() > limits_.idle_most) discard(*idle.back());
+}
+
+void Client::discard(PooledConnection& connection) {
+  const auto found = all_.find(&connection);
+  if (found == all_.end()) return;
+  if (const auto idle = idle_.find(connection.address()); idle != idle_.end()) idle->second.remove(&connection);
+  loop_.dispose(std::move(found->second));
+  all_.erase(found);
+}
+
+}  // namespace lemonroute::http
--- /dev/null
+++ b/src/http/client.h
@@ -0,0 +1,76 @@
+// An HTTP/1.1 client with a pool of idle connections. Nothing is ever sent a second time here.
+#pragma once
+
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "http/message.h"
+#include "net/connection.h"
+
+namespace lemonroute::http {
+
+using std::chrono::microseconds;
+
+enum class Ending {
+  whole,      // the answer came to its end
+  not_sent,   // no connection, or it broke before the last byte of the request was written
+  broken,     // it broke after that
+  malformed,  // the answer is no HTTP
+};
+
+// What comes of one exchange. `ended` comes once, last, and never from within Client::start; whoever gets it
+// may let go of the exchange there and then.
+class Listener {
+ public:
+  virtual ~Listener() = default;
+  virtual void head(const Head& head) = 0;
+  virtual void body(std::string_view piece) = 0;
+  virtual void ended(Ending how) = 0;
+};
+
+struct ClientLimits {
+  microseconds connect_timeout{std::chrono::milliseconds(250)};
+  microseconds idle{std::chrono::seconds(8)};  // idle connections are retired after it
+  std::size_t idle_most = 64;                  // of one address
+};
+
+class PooledConnection;
+
+// One request and its answer. Letting go of it before the end closes the connection.
+class Exchange {
+ public:
+  ~Exchange();
+  void hold_back(bool on);  // stops or goes on reading the answer
+
+ private:
+  friend class PooledConnection;
+  friend class Client;
+  PooledConnection* connection_ = nullptr;
+};
+
+class Client {
+ public:
+  Client(net::Loop& loop, ClientLimits limits);
+  ~Client();
+  Client(const Client&) = delete;
+  Client& operator=(const Client&) = delete;
+
+  std::unique_ptr<Exchange> start(const std::string& address, std::string_view head,
+                                  std::shared_ptr<const std::string> body, Listener& listener);
+  void hang_up(const std::string& address);
+
+ private:
+  friend class PooledConnection;
+  void idle(PooledConnection& connection);
+  void discard(PooledConnection& connection);
+
+  net::Loop& loop_;
+  ClientLimits limits_;
+  std::map<std::string, std::list<PooledConnection*>> idle_;  // the last used first
+  std::map<PooledConnection*, std::unique_ptr<PooledConnection>> all_;
+};
+
+}  // namespace lemonroute::http
--- /dev/null
+++ b/src/http/event_stream.h
@@ -0,0 +1,26 @@
+// Server-sent events out of pieces that may be cut anywhere.
+#pragma once
+
+#include <functional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace lemonroute::http {
+
+class EventStream {
+ public:
+  // Each returns false to stop: the rest of the piece is then not looked at.
+  std::function<bool(std::string_view data)> on_event;
+  std::function<bool(std::string_view text)> on_comment;
+
+  // False if an event grew beyond what is allowed.
+  bool feed(std::string_view piece);
+
+ private:
+  bool line(std::string_view text);  // false: stop
+  std::string line_, data_;
+  bool has_data_ = false, stopped_ = false;
+};
+
+}  // namespace lemonroute::http
--- /dev/null
+++ b/src/http/front.h
@@ -0,0 +1,44 @@
+// The platform's front: HTTP/1.1 requests in, answers out. A thin layer over the core.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "core/conductor.h"
+#include "net/connection.h"
+
+namespace lemonroute::http {
+
+class ClientConnection;
+
+class Front {
+ public:
+  struct Options {
+    std::string listen;
+    std::size_t most_connections = 400;
+    Micros idle{std::chrono::seconds(75)};    // between requests
+    Micros sending{std::chrono::seconds(10)};  // for a request to come whole, or an answer to be taken
+  };
+  Front(net::Loop& loop, Conductor& conductor, Options options);
+  ~Front();
+
+  std::uint16_t port() const { return listener_->port(); }
+  void drain();             // from now on connections end after their answer
+  void stop_accepting();    // and connections between requests are closed
+  bool idle() const { return connections_.empty(); }
+
+ private:
+  friend class ClientConnection;
+  void accept(evutil_socket_t fd);
+  void discard(ClientConnection& connection);
+
+  net::Loop& loop_;
+  Conductor& conductor_;
+  Options options_;
+  bool draining_ = false;
+  std::map<ClientConnection*, std::unique_ptr<ClientConnection>> connections_;
+  std::unique_ptr<net::Listener> listener_;
+};
+
+}  // namespace lemonroute::http
--- /dev/null
+++ b/src/http/node_client.cpp
@@ -0,0 +1,174 @@
+#include "http/node_client.h"
+
+#include <iomanip>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+#include "base/log.h"
+#include "http/event_stream.h"
+
+namespace lemonroute::http {
+namespace {
+
+constexpr std::size_t most_answer = 4096;  // of an answer that is no stream
+
+std::string seconds_text(Micros span) {
+  std::ostringstream text;
+  text << std::fixed << std::setprecision(3) << std::chrono::duration<double>(span).count();
+  return text.str();
+}
+
+// The count of kept tokens that the body of a read, or the usage event of a stream, states.
+std::uint32_t kept_tokens(std::string_view text) {
+  const auto json = nlohmann::json::parse(text, nullptr, false);
+  if (!json.is_object()) return 0;
+  const nlohmann::json* at = &json;
+  if (const auto usage = json.find("usage"); usage != json.end() && usage->is_object()) {
+    const auto details = usage->find("prompt_tokens_details");
+    if (details == usage->end() || !details->is_object()) return 0;
+    at = &*details;
+  }
+  const auto kept = at->find("cached_tokens");
+  return kept != at->end() && kept->is_number_unsigned() ? kept->get<std::uint32_t>() : 0;
+}
+
+class AttemptCall : public Call, Listener {
+ public:
+  AttemptCall(Client& client, const Node& node, const Prompt& prompt, Micros within, Attempt& attempt)
+      : attempt_(attempt) {
+    stream_.on_event = [this](std::string_view data) { return event(data); };
+    stream_.on_comment = [this](std::string_view text) {
+      constexpr std::string_view name = "Srv-Load:";
+      if (same_name(text.substr(0, name.size()), name)) result_.load = trim(text.substr(name.size()));
+      return true;
+    };
+    std::ostringstream head;
+    head << "POST " << prompt.target << " HTTP/1.1\r\nHost: " << node.address << "\r\nReq-Id: " << prompt.id
+         << "\r\nReq-Deadline: " << seconds_text(within)
+         << "\r\nContent-Type: application/json\r\nContent-Length: " << prompt.body->size() << "\r\n\r\n";
+    exchange_ = client.start(node.address, head.str(), prompt.body, *this);
+  }
+  void hold_back(bool on) override { exchange_->hold_back(on); }
+
+ private:
+  void head(const Head& head) override {
+    status_ = head.status;
+    result_.load = head.field("Srv-Load");
+    const bool declined = head.field("Srv-Declined") == "1";
+    if (status_ == 200 && head.field("Content-Type").starts_with("text/event-stream")) {
+      streams_ = true;
+      result_.outcome = Outcome::ok;
+    } else if (status_ == 202) {
+      result_.outcome = Outcome::read;
+    } else if (declined && (status_ == 503 || status_ == 504 || status_ == 410)) {
+      result_.outcome = Outcome::full;
+      result_.kept = status_ == 410 ? 1 : 0;
+    } else {
+      result_.outcome = Outcome::error;
+    }
+    result_.detail = "status " + std::to_string(status_);
+  }
+
+  void body(std::string_view piece) override {
+    if (!streams_) {
+      if (text_.size() + piece.size() <= most_answer) text_ += piece;
+      return;
+    }
+    if (!stream_.feed(piece)) done(Outcome::reset, "an event is too large");
+  }
+
+  bool event(std::string_view data) {
+    if (data == "[DONE]") done_seen_ = true;
+    else if (data.find("\"usage\"") != std::string_view::npos) result_.kept = kept_tokens(data);
+    events_ = true;
+    attempt_.event(data);  // may let go of nothing: the core ends an attempt only between events
+    return true;
+  }
+
+  void ended(Ending how) override {
+    switch (how) {
+      case Ending::not_sent: return done(Outcome::connect_failed, "no connection");
+      case Ending::broken: return done(Outcome::reset, "the connection broke");
+      case Ending::malformed:
+        return done(events_ ? Outcome::reset : Outcome::error, "the answer is malformed");
+      case Ending::whole: break;
+    }
+    if (result_.outcome == Outcome::read) result_.kept = kept_tokens(text_);
+    if (streams_ && !events_) return done(Outcome::error, "the stream is empty");
+    if (streams_ && !done_seen_) return done(Outcome::reset, "the stream has no end");
+    attempt_.done(result_);
+  }
+
+  void done(Outcome outcome, std::string detail) {
+    result_.outcome = outcome;
+    result_.detail = std::move(detail);
+    result_.kept = 0;
+    attempt_.done(result_);  // this call is gone after it
+  }
+
+  Attempt& attempt_;
+  Result result_;
+  int status_ = 0;
+  bool streams_ = false, events_ = false, done_seen_ = false;
+  std::string text_;
+  EventStream stream_;
+  std::unique_ptr<Exchange> exchange_;
+};
+
+// A call whose answer matters only by its status.
+class SimpleCall : public Call, Listener {
+ public:
+  using Done = std::function<void(Ending, int status, std::string load)>;
+  SimpleCall(Client& client, const Node& node, std::string_view line, Done done) : done_(std::move(done)) {
+    exchange_ = client.start(node.address,
+                             std::string(line) + " HTTP/1.1\r\nHost: " + node.address + "\r\n\r\n", {}, *this);
+  }
+
+ private:
+  void head(const Head& head) override {
+    status_ = head.status;
+    load_ = head.field("Srv-Load");
+  }
+  void body(std::string_view piece) override {
+    if (text_.size() + piece.size() <= most_answer) text_ += piece;
+  }
+  void ended(Ending how) override {
+    const auto done = std::move(done_);  // letting go of the call must not end the function that runs
+    done(how, status_, load_.empty() ? text_ : load_);
+  }
+
+  Done done_;
+  int status_ = 0;
+  std::string load_, text_;
+  std::unique_ptr<Exchange> exchange_;
+};
+
+}  // namespace
+
+std::unique_ptr<Call> NodeClient::begin(const Node& node, const Prompt& prompt, Micros within,
+                                        Attempt& attempt) {
+  return std::make_unique<AttemptCall>(client_, node, prompt, within, attempt);
+}
+
+std::unique_ptr<Call> NodeClient::release(const Node& node, const std::string& id,
+                                          std::function<void(bool)> done) {
+  return std::make_unique<SimpleCall>(client_, node, "DELETE /state/" + id,
+                                      [done = std::move(done)](Ending how, int, const std::string&) {
+                                        done(how == Ending::whole);
+                                      });
+}
+
+std::unique_ptr<Call> NodeClient::probe(const Node& node, std::function<void(const Result&)> done) {
+  return std::make_unique<SimpleCall>(
+      client_, node, "GET /load", [done = std::move(done)](Ending how, int status, std::string load) {
+        Result result;
+        result.load = std::move(load);
+        result.outcome = how == Ending::not_sent           ? Outcome::connect_failed
+                         : how == Ending::broken           ? Outcome::reset
+                         : how == Ending::whole && status == 200 ? Outcome::ok
+                                                                 : Outcome::error;
+        done(result);
+      });
+}
+
+}  // namespace lemonroute::http
--- /dev/null
+++ b/src/net/connection.cpp
@@ -0,0 +1,121 @@
+#include "net/connection.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <cstring>
+#include <stdexcept>
+
+#include "base/log.h"
+
+namespace lemonroute::net {
+namespace {
+
+constexpr std::chrono::milliseconds out_of_descriptors_rest{50};
+
+void no_delay(evutil_socket_t fd) {
+  const int on = 1;
+  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+}
+
+}  // namespace
+
+Endpoint::Endpoint(const std::string& text) {
+  if (evutil_parse_sockaddr_port(text.c_str(), reinterpret_cast<sockaddr*>(&storage_), &length_) != 0 ||
+      text.rfind(':') == std::string::npos || text.back() == ']')
+    throw std::invalid_argument("'" + text + "' is not an address of the form IP:PORT");
+}
+
+Connection::Connection(Loop& loop, evutil_socket_t accepted, Handler& handler)
+    : bev_(bufferevent_socket_new(loop.base(), accepted, BEV_OPT_CLOSE_ON_FREE)) {
+  no_delay(accepted);
+  set_up(handler);
+}
+
+Connection::Connection(Loop& loop, const Endpoint& to, Handler& handler)
+    : bev_(bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE)) {
+  const evutil_socket_t fd = socket(to.address()->sa_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0) {
+    started_ = false;
+    logging::warn() << "no socket for a new connection: " << std::strerror(errno);
+    return;
+  }
+  no_delay(fd);
+  bufferevent_setfd(bev_.get(), fd);
+  set_up(handler);
+  if (bufferevent_socket_connect(bev_.get(), to.address(), to.length()) != 0) started_ = false;
+}
+
+void Connection::set_up(Handler& handler) {
+  handler_ = &handler;
+  bufferevent_setcb(
+      bev_.get(), [](bufferevent*, void* self) { static_cast<Connection*>(self)->handler_->on_readable(); },
+      [](bufferevent*, void* self) { static_cast<Connection*>(self)->handler_->on_drained(); },
+      [](bufferevent*, short what, void* self) {
+        Handler& to = *static_cast<Connection*>(self)->handler_;
+        if (what & BEV_EVENT_CONNECTED) to.on_connected();
+        else to.on_closed();
+      },
+      this);
+  bufferevent_enable(bev_.get(), EV_READ | EV_WRITE);
+}
+
+void Connection::write(std::string_view bytes) { bufferevent_write(bev_.get(), bytes.data(), bytes.size()); }
+
+void Connection::write(std::shared_ptr<const std::string> bytes) {
+  if (bytes->empty()) return;
+  using Held = std::shared_ptr<const std::string>;
+  auto* held = new Held(std::move(bytes));
+  evbuffer_add_reference(
+      bufferevent_get_output(bev_.get()), (*held)->data(), (*held)->size(),
+      [](const void*, std::size_t, void* extra) { delete static_cast<Held*>(extra); }, held);
+}
+
+void Connection::read(bool on) {
+  if (on) bufferevent_enable(bev_.get(), EV_READ);
+  else bufferevent_disable(bev_.get(), EV_READ);
+}
+void Connection::limit_input(std::size_t n) { bufferevent_setwatermark(bev_.get(), EV_READ, 0, n); }
+void Connection::end_sending() { shutdown(bufferevent_getfd(bev_.get()), SHUT_WR); }
+void Connection::poke() {
+  bufferevent_trigger(bev_.get(), EV_READ, static_cast<int>(BEV_OPT_DEFER_CALLBACKS) | BEV_TRIG_IGNORE_WATERMARKS);
+}
+
+Listener::Listener(Loop& loop, const std::string& address, std::function<void(evutil_socket_t)> accepted)
+    : accepted_(std::move(accepted)), rest_(loop, [this] { pause(paused_); }) {
+  const Endpoint at(address);
+  listener_.reset(evconnlistener_new_bind(
+      loop.base(),
+      [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* self) {
+        static_cast<Listener*>(self)->accepted_(fd);
+      },
+      this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE, 1024, at.address(),
+      at.length()));
+  if (!listener_)
+    throw std::runtime_error("cannot listen on " + address + ": " + std::string(std::strerror(errno)));
+  evconnlistener_set_error_cb(listener_.get(), [](evconnlistener* listener, void* self) {
+    // Guards against a full descriptor table: the waiting connection stays readable, and the loop would spin
+    // on it without serving the requests whose end frees descriptors.
+    logging::warn() << "a connection could not be taken: "
+                    << evutil_socket_error_to_string(EVUTIL_SOCKET_ERROR());
+    evconnlistener_disable(listener);
+    static_cast<Listener*>(self)->rest_.start(out_of_descriptors_rest);
+  });
+}
+
+std::uint16_t Listener::port() const {
+  sockaddr_storage at{};
+  socklen_t length = sizeof at;
+  getsockname(evconnlistener_get_fd(listener_.get()), reinterpret_cast<sockaddr*>(&at), &length);
+  return ntohs(at.ss_family == AF_INET6 ? reinterpret_cast<sockaddr_in6&>(at).sin6_port
+                                        : reinterpret_cast<sockaddr_in&>(at).sin_port);
+}
+
+void Listener::pause(bool on) {
+  paused_ = on;
+  if (on) evconnlistener_disable(listener_.get());
+  else evconnlistener_enable(listener_.get());
+}
+
+}  // namespace lemonroute::net
--- /dev/null
+++ b/src/net/connection.h
@@ -0,0 +1,85 @@
+// TCP on bufferevents: a connection with callbacks, and a listener.
+#pragma once
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "net/loop.h"
+
+namespace lemonroute::net {
+
+// host:port, with a numeric IPv4 or [IPv6] host. Throws std::invalid_argument.
+class Endpoint {
+ public:
+  explicit Endpoint(const std::string& text);
+  const sockaddr* address() const { return reinterpret_cast<const sockaddr*>(&storage_); }
+  int length() const { return length_; }
+
+ private:
+  sockaddr_storage storage_{};
+  int length_ = sizeof storage_;
+};
+
+class Connection {
+ public:
+  class Handler {
+   public:
+    virtual ~Handler() = default;
+    virtual void on_connected() {}
+    virtual void on_readable() = 0;  // there is more in input()
+    virtual void on_drained() {}     // all that was written has gone to the kernel
+    virtual void on_closed() = 0;    // by the peer or by an error; the handler drops the connection
+  };
+
+  Connection(Loop& loop, evutil_socket_t accepted, Handler& handler);
+  Connection(Loop& loop, const Endpoint& to, Handler& handler);  // connects
+  Connection(const Connection&) = delete;
+  Connection& operator=(const Connection&) = delete;
+
+  bool started() const { return started_; }  // false: not even a socket could be had
+  evbuffer* input() { return bufferevent_get_input(bev_.get()); }
+  std::size_t unsent() const { return evbuffer_get_length(bufferevent_get_output(bev_.get())); }
+
+  // Written parts are gathered and go out together, without being copied into one block.
+  void write(std::string_view bytes);
+  void write(std::shared_ptr<const std::string> bytes);
+  void read(bool on);              // backpressure: off leaves bytes with the sender
+  void limit_input(std::size_t n);  // most bytes buffered here before the sender has to wait
+  void end_sending();
+  void poke();  // calls on_readable again, from the loop, for bytes that have been left in input()
+
+ private:
+  struct Free {
+    void operator()(bufferevent* bev) const { bufferevent_free(bev); }
+  };
+  void set_up(Handler& handler);
+  std::unique_ptr<bufferevent, Free> bev_;
+  Handler* handler_ = nullptr;
+  bool started_ = true;
+};
+
+// Takes connections and hands on their sockets. Out of descriptors it rests for a moment instead of spinning.
+class Listener {
+ public:
+  Listener(Loop& loop, const std::string& address, std::function<void(evutil_socket_t)> accepted);
+  std::uint16_t port() const;
+  void pause(bool on);
+
+ private:
+  struct Free {
+    void operator()(evconnlistener* listener) const { evconnlistener_free(listener); }
+  };
+  std::function<void(evutil_socket_t)> accepted_;
+  Timer rest_;
+  bool paused_ = false;
+  std::unique_ptr<evconnlistener, Free> listener_;
+};
+
+}  // namespace lemonroute::net
