--- a/src/config/platform.cpp
+++ b/src/config/platform.cpp
@@ -34,9 +34,12 @@
   }
   std::string text;
   if (value.is_array())
-    for (const auto& item : value) text += (text.empty() ? "" : ",") + plain(item);
+    for (const auto& item : value) {
+      if (!text.empty()) text += ',';
+      text += plain(item);
+    }
   else text = plain(value);
-  lines += path + "=" + text + "\n";
+  lines.append(path).append("=").append(text).append("\n");
 }
 
 std::vector<std::string> names(const json& settings, const char* key) {
