--- a/include/snowflow/scheduler.h
+++ b/include/lemonroute/scheduler.h
@@ -9,7 +9,7 @@
 #include <variant>
 #include <vector>
 
-namespace snowflow {
+namespace lemonroute {
 
 using Micros = std::chrono::microseconds;  // durations, and times on the caller's clock
 using HostId = std::uint32_t;
@@ -200,4 +200,4 @@
   std::unique_ptr<Core> core_;
 };
 
-}  // namespace snowflow
+}  // namespace lemonroute
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -8,12 +8,10 @@
 #include <string_view>
 #include <vector>
 
-#include "snowflow/scheduler.h"
+#include "lemonroute/scheduler.h"
 
 namespace lemonroute {
 
-using namespace snowflow;
-
 // The time that the Scheduler is given: it starts from the system's clock, in which nodes state when they
 // started, and then goes on steadily.
 class Clock {
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -1,4 +1,4 @@
-// snowflow's decisions, all of them. The types it works with are in include/snowflow/scheduler.h.
+// lemonroute's decisions, all of them. The types it works with are in include/lemonroute/scheduler.h.
 //
 // The ordinary path is Mooncake's Algorithm 1: the reader with the lowest estimated wait + unmatched read
 // time; after the read a near, least loaded writer; refusal before the read when waiting would miss the aim
@@ -12,9 +12,9 @@
 #include <optional>
 #include <utility>
 
-#include "snowflow/scheduler.h"
+#include "lemonroute/scheduler.h"
 
-namespace snowflow {
+namespace lemonroute {
 namespace {
 
 using std::chrono::seconds;
@@ -922,4 +922,4 @@
   std::visit([&](const auto& e) { core_->on(e); }, event);
 }
 
-}  // namespace snowflow
+}  // namespace lemonroute
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -4,7 +4,7 @@
 #include <cmath>
 #include <map>
 
-namespace snowflow {
+namespace lemonroute {
 namespace {
 
 class Table {
@@ -165,4 +165,4 @@
   return s;
 }
 
-}  // namespace snowflow
+}  // namespace lemonroute
--- a/src/settings.h
+++ b/src/settings.h
@@ -4,9 +4,9 @@
 #include <stdexcept>
 #include <string_view>
 
-#include "snowflow/scheduler.h"
+#include "lemonroute/scheduler.h"
 
-namespace snowflow {
+namespace lemonroute {
 
 struct SettingsError : std::runtime_error {
   using std::runtime_error::runtime_error;
@@ -16,4 +16,4 @@
 // safe, throws SettingsError naming the key.
 Settings parse_settings(std::string_view text);
 
-}  // namespace snowflow
+}  // namespace lemonroute
--- a/src/wire.cpp
+++ b/src/wire.cpp
@@ -4,7 +4,7 @@
 #include <limits>
 #include <type_traits>
 
-namespace snowflow::wire {
+namespace lemonroute::wire {
 namespace {
 
 struct U32Micros {
@@ -374,4 +374,4 @@
   return read_records<AnyAction>(frame, io.at(), count, action_codes);
 }
 
-}  // namespace snowflow::wire
+}  // namespace lemonroute::wire
--- a/src/wire.h
+++ b/src/wire.h
@@ -4,9 +4,9 @@
 
 #include <stdexcept>
 
-#include "snowflow/scheduler.h"
+#include "lemonroute/scheduler.h"
 
-namespace snowflow::wire {
+namespace lemonroute::wire {
 
 struct Create {
   std::uint64_t seed = 0;
@@ -48,4 +48,4 @@
 Reply decode_reply(const std::string& frame);
 std::uint32_t frame_length(const std::string& first_four_bytes);  // of a batch
 
-}  // namespace snowflow::wire
+}  // namespace lemonroute::wire
--- a/src/wirehost.cpp
+++ b/src/wirehost.cpp
@@ -1,4 +1,4 @@
-// snowflow_wirehost: hosts scheduler instances and speaks the wire on standard input and output.
+// lemonroute_wirehost: hosts scheduler instances and speaks the wire on standard input and output.
 #include <cstdio>
 #include <exception>
 #include <map>
@@ -8,7 +8,7 @@
 
 namespace {
 
-using namespace snowflow;
+using namespace lemonroute;
 
 // Reads up to `size` bytes; fewer only at the end of input.
 std::string read_bytes(std::size_t size) {
@@ -76,12 +76,12 @@
                                std::to_string(length) + " bytes");
       const std::string reply = host.answer(frame);
       if (std::fwrite(reply.data(), 1, reply.size(), stdout) != reply.size() || std::fflush(stdout) != 0) {
-        std::fprintf(stderr, "snowflow_wirehost: the reply to frame %zu could not be written\n", frames);
+        std::fprintf(stderr, "lemonroute_wirehost: the reply to frame %zu could not be written\n", frames);
         return 1;
       }
     }
   } catch (const std::exception& error) {
-    std::fprintf(stderr, "snowflow_wirehost: frame %zu: %s\n", frames, error.what());
+    std::fprintf(stderr, "lemonroute_wirehost: frame %zu: %s\n", frames, error.what());
     return 1;
   }
 }
--- a/tests/adapter_test.cpp
+++ b/tests/adapter_test.cpp
@@ -10,7 +10,7 @@
 
 #include "wire.h"
 
-namespace snowflow::wire {
+namespace lemonroute::wire {
 namespace {
 
 struct Ran {
@@ -19,7 +19,7 @@
 };
 
 Ran run(const std::string& input) {
-  const std::string base = ::testing::TempDir() + "snowflow_adapter_" + std::to_string(::getpid());
+  const std::string base = ::testing::TempDir() + "lemonroute_adapter_" + std::to_string(::getpid());
   const auto slurp = [](const std::string& path) {
     std::ostringstream text;
     text << std::ifstream(path, std::ios::binary).rdbuf();
@@ -27,7 +27,7 @@
   };
   std::ofstream(base + ".in", std::ios::binary) << input;
   const std::string command =
-      std::string(SNOWFLOW_WIREHOST) + " <" + base + ".in >" + base + ".out 2>" + base + ".err";
+      std::string(LEMONROUTE_WIREHOST) + " <" + base + ".in >" + base + ".out 2>" + base + ".err";
   const int raw = std::system(command.c_str());
   Ran result{WIFEXITED(raw) ? WEXITSTATUS(raw) : -1, slurp(base + ".out"), slurp(base + ".err")};
   for (const char* end : {".in", ".out", ".err"}) std::remove((base + end).c_str());
@@ -112,4 +112,4 @@
 }
 
 }  // namespace
-}  // namespace snowflow::wire
+}  // namespace lemonroute::wire
--- a/tests/failure_test.cpp
+++ b/tests/failure_test.cpp
@@ -3,7 +3,7 @@
 
 #include "support.h"
 
-namespace snowflow::test {
+namespace lemonroute::test {
 namespace {
 
 TEST(Overdue, TinyEstimateDoesNotMakeAnAttemptOverdue) {
@@ -211,4 +211,4 @@
 }
 
 }  // namespace
-}  // namespace snowflow::test
+}  // namespace lemonroute::test
--- a/tests/mechanism_test.cpp
+++ b/tests/mechanism_test.cpp
@@ -4,7 +4,7 @@
 
 #include "support.h"
 
-namespace snowflow::test {
+namespace lemonroute::test {
 namespace {
 
 TEST(ReaderChoice, PrefersTheReaderThatHoldsTheSession) {
@@ -227,4 +227,4 @@
 }
 
 }  // namespace
-}  // namespace snowflow::test
+}  // namespace lemonroute::test
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -7,7 +7,7 @@
 
 #include "support.h"
 
-namespace snowflow::test {
+namespace lemonroute::test {
 namespace {
 
 // ---- One by one ----
@@ -350,4 +350,4 @@
 }
 
 }  // namespace
-}  // namespace snowflow::test
+}  // namespace lemonroute::test
--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -4,7 +4,7 @@
 
 #include "support.h"
 
-namespace snowflow::test {
+namespace lemonroute::test {
 namespace {
 
 TEST(ManyInstances, TogetherKeepAColdHostsBudget) {
@@ -97,4 +97,4 @@
 }
 
 }  // namespace
-}  // namespace snowflow::test
+}  // namespace lemonroute::test
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -2,7 +2,7 @@
 
 #include <gtest/gtest.h>
 
-namespace snowflow {
+namespace lemonroute {
 namespace {
 
 const std::string least =
@@ -68,4 +68,4 @@
 }
 
 }  // namespace
-}  // namespace snowflow
+}  // namespace lemonroute
--- a/tests/support.h
+++ b/tests/support.h
@@ -3,9 +3,9 @@
 
 #include <gtest/gtest.h>
 
-#include "snowflow/scheduler.h"
+#include "lemonroute/scheduler.h"
 
-namespace snowflow::test {
+namespace lemonroute::test {
 
 using namespace std::chrono_literals;
 
@@ -139,4 +139,4 @@
   std::vector<std::string> log_lines;
 };
 
-}  // namespace snowflow::test
+}  // namespace lemonroute::test
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -3,7 +3,7 @@
 
 #include <gtest/gtest.h>
 
-namespace snowflow::wire {
+namespace lemonroute::wire {
 namespace {
 
 std::string bytes(const std::string& hex) {
@@ -136,4 +136,4 @@
 }
 
 }  // namespace
-}  // namespace snowflow::wire
+}  // namespace lemonroute::wire
