--- a/src/core/types.cpp
+++ b/src/core/types.cpp
@@ -1,5 +1,6 @@
 #include "core/types.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace lemonroute {
@@ -20,4 +21,10 @@
   return error == std::errc() && end == text.data() + text.size() ? key : hash_of(text);
 }
 
+bool valid_id(std::string_view id) {
+  return !id.empty() && id.size() <= 128 && std::all_of(id.begin(), id.end(), [](char c) {
+    return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || c == '-' || c == '_';
+  });
+}
+
 }  // namespace lemonroute
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -59,6 +59,8 @@
 // A key as a number: hexadecimal digits as they are, any other text by its hash. 0 = none.
 Key key_of(std::string_view text);
 std::uint64_t hash_of(std::string_view text);  // the same in every process
+// Whether nodes can be told of a request by this id: letters, digits, '-' and '_', up to 128 of them.
+bool valid_id(std::string_view id);
 
 // Where the answer to one request goes. Exactly one of finish, refuse, fail and cut ends it, and none of
 // them is called after Conductor::gone. None of them may call the Conductor's gone from within.
--- /dev/null
+++ b/src/grpc/front.cpp
@@ -0,0 +1,95 @@
+#include "grpc/front.h"
+
+#include "proto/lemonroute.pb.h"
+
+namespace lemonroute::grpc {
+namespace {
+
+constexpr std::string_view chat_path = "/v1/chat/completions";
+constexpr std::size_t most_body = 256 * 1024;
+
+class Generate : public Method, Client {
+ public:
+  Generate(Conductor& conductor, ServerCall& call, std::string_view timeout)
+      : conductor_(conductor), call_(call), timeout_(timeout) {}
+  // The client has cancelled the call, or its connection is lost.
+  ~Generate() override {
+    if (taken_) conductor_.gone(id_);
+  }
+
+ private:
+  void message(std::string_view bytes) override {
+    v1::GenerateRequest request;
+    if (!request.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
+      return call_.finish(Status::invalid_argument, "the message can't be read");
+    if (!valid_id(request.id())) return call_.finish(Status::invalid_argument, "the id is missing or odd");
+    if (request.body().size() > most_body)
+      return call_.finish(Status::resource_exhausted, "the body is too large");
+    Inquiry inquiry;
+    if (!timeout_.empty()) {
+      const auto budget = parse_timeout(timeout_);
+      if (!budget) return call_.finish(Status::invalid_argument, "grpc-timeout can't be read");
+      inquiry.budget = std::max(*budget, Micros(1));
+    }
+    inquiry.prompt = {request.id(), std::string(chat_path), std::make_shared<std::string>(request.body())};
+    inquiry.kind = request.kind();
+    inquiry.tenant = request.tenant();
+    inquiry.session = key_of(request.session());
+    inquiry.shared = key_of(request.prefix());
+    inquiry.prompt_tokens = request.prompt_tokens();
+    inquiry.shared_tokens = request.prefix_tokens();
+    inquiry.max_output = request.max_output();
+    inquiry.repeat = request.repeat();
+    taken_ = true;  // the answer may come before take returns
+    switch (conductor_.take(inquiry, *this, id_)) {
+      case Conductor::Taken::yes: return;
+      case Conductor::Taken::unknown_kind:
+        taken_ = false;
+        return call_.finish(Status::invalid_argument, "the kind is not known");
+      case Conductor::Taken::duplicate:
+        taken_ = false;
+        return call_.finish(Status::already_exists, "a request with this id is open");
+    }
+  }
+  void drained() override { conductor_.drained(id_); }
+
+  bool event(std::string_view data) override {
+    v1::GenerateEvent event;
+    event.set_data(std::string(data));
+    return call_.send(frame(event));
+  }
+  void finish() override { end(Status::ok, ""); }
+  void refuse(Micros stay_away) override {
+    // A negative pushback would forbid to try again; without a hint none is sent.
+    Headers pushback;
+    if (stay_away > Micros(0))
+      pushback.emplace_back(
+          "grpc-retry-pushback-ms",
+          std::to_string(std::chrono::ceil<std::chrono::milliseconds>(stay_away).count()));
+    end(Status::unavailable, "refused, try again", pushback);
+  }
+  void fail(Failure why) override {
+    if (why == Failure::timed_out) end(Status::deadline_exceeded, "no answer in time");
+    else end(Status::internal, "the nodes failed");
+  }
+  void cut() override { end(Status::aborted, "the stream broke"); }
+  void end(Status status, std::string_view text, const Headers& more = {}) {
+    taken_ = false;
+    call_.finish(status, text, more);
+  }
+
+  Conductor& conductor_;
+  ServerCall& call_;
+  std::string timeout_;
+  RequestId id_ = 0;
+  bool taken_ = false;
+};
+
+}  // namespace
+
+std::unique_ptr<Method> Front::open(std::string_view path, const Headers& headers, ServerCall& call) {
+  if (path != "/lemonroute.v1.Drafting/Generate") return nullptr;
+  return std::make_unique<Generate>(conductor_, call, find(headers, "grpc-timeout"));
+}
+
+}  // namespace lemonroute::grpc
--- /dev/null
+++ b/src/grpc/server.h
@@ -0,0 +1,75 @@
+// A gRPC server on the loop: connections and calls. What the methods do is up to the services.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "grpc/session.h"
+
+namespace lemonroute::grpc {
+
+class ServerCall;
+
+// A method's side of one call. It is destroyed once the call is over, whichever side ended it.
+class Method {
+ public:
+  virtual ~Method() = default;
+  virtual void message(std::string_view bytes) = 0;  // the request, whole
+  virtual void drained() {}                          // more may be sent
+};
+
+class Service {
+ public:
+  virtual ~Service() = default;
+  // The method at `path`, or nothing if it is not this service's.
+  virtual std::unique_ptr<Method> open(std::string_view path, const Headers& headers, ServerCall& call) = 0;
+};
+
+// The transport's side of one call, for the method to answer through.
+class ServerCall : StreamEvents {
+ public:
+  ServerCall(Session& session, std::int32_t id) : session_(session), id_(id) {}
+  bool send(const std::string& framed);  // false: hold the rest back until Method::drained
+  void finish(Status status, std::string_view text, const Headers& more = {});  // the call is over; once
+
+ private:
+  friend class Server;
+  void headers(const Headers&) override {}
+  void data(std::string_view piece) override;
+  void half_closed() override;
+  void drained() override { method_->drained(); }
+  void closed(std::uint32_t code, bool sent) override;
+
+  Session& session_;
+  std::int32_t id_;
+  bool responded_ = false, has_message_ = false, over_ = false;
+  std::string message_;
+  MessageReader reader_;
+  std::unique_ptr<Method> method_;
+  std::function<void()> on_over_;
+};
+
+class Server : SessionOwner {
+ public:
+  Server(net::Loop& loop, const std::string& listen, std::size_t most_connections);
+  ~Server() override;
+  void add(Service& service) { services_.push_back(&service); }
+  std::uint16_t port() const { return listener_->port(); }
+  void stop_accepting();  // calls that are open go on
+  bool idle() const { return sessions_.empty(); }
+  std::size_t calls() const { return calls_.size(); }
+
+ private:
+  StreamEvents* opened(Session& session, std::int32_t id, const Headers& headers) override;
+  void closed(Session& session) override;
+
+  net::Loop& loop_;
+  std::size_t most_connections_;
+  std::vector<Service*> services_;
+  std::map<ServerCall*, std::unique_ptr<ServerCall>> calls_;
+  std::map<Session*, std::unique_ptr<Session>> sessions_;
+  std::unique_ptr<net::Listener> listener_;
+};
+
+}  // namespace lemonroute::grpc
--- /dev/null
+++ b/src/grpc/session.cpp
@@ -0,0 +1,375 @@
+#include "grpc/session.h"
+
+#include <algorithm>
+#include <cstring>
+
+#include "base/log.h"
+
+namespace lemonroute::grpc {
+namespace {
+
+constexpr std::size_t most_unsent = 64 * 1024;  // handed to the connection ahead of the socket
+constexpr std::size_t drained_below = 16 * 1024;
+constexpr std::size_t most_header_bytes = 16 * 1024;
+
+std::vector<nghttp2_nv> to_nv(const Headers& headers) {
+  std::vector<nghttp2_nv> nv;
+  for (const auto& [name, value] : headers)
+    nv.push_back({reinterpret_cast<std::uint8_t*>(const_cast<char*>(name.data())),
+                  reinterpret_cast<std::uint8_t*>(const_cast<char*>(value.data())), name.size(), value.size(),
+                  NGHTTP2_NV_FLAG_NONE});
+  return nv;
+}
+
+Session& session_of(void* self) { return *static_cast<Session*>(self); }
+
+}  // namespace
+
+Session::Session(net::Loop& loop, evutil_socket_t accepted, SessionOwner& owner, Limits limits)
+    : loop_(loop),
+      owner_(owner),
+      limits_(limits),
+      server_(true),
+      connected_(true),
+      self_(std::make_shared<Session*>(this)),
+      connect_timer_(loop, [this] { close(); }),
+      ping_timer_(loop, [this] { close(); }),
+      connection_(new net::Connection(loop, accepted, *this)) {
+  start(true);
+}
+
+Session::Session(net::Loop& loop, const std::string& address, SessionOwner& owner, Limits limits)
+    : loop_(loop),
+      owner_(owner),
+      limits_(limits),
+      server_(false),
+      connected_(false),
+      self_(std::make_shared<Session*>(this)),
+      connect_timer_(loop, [this] { close(); }),
+      ping_timer_(loop, [this] { close(); }),
+      connection_(new net::Connection(loop, net::Endpoint(address), *this)) {
+  connect_timer_.start(connection_->started() ? limits.connect_timeout : std::chrono::microseconds(0));
+  start(false);
+}
+
+Session::~Session() = default;
+
+nghttp2_session_callbacks* Session::callbacks() {
+  static const auto made = [] {
+    nghttp2_session_callbacks* c = nullptr;
+    nghttp2_session_callbacks_new(&c);
+    nghttp2_session_callbacks_set_on_begin_headers_callback(
+        c, [](nghttp2_session*, const nghttp2_frame* frame, void* self) {
+          Session& s = session_of(self);
+          if (s.server_ && frame->headers.cat == NGHTTP2_HCAT_REQUEST) s.streams_[frame->hd.stream_id];
+          if (auto* stream = s.stream(frame->hd.stream_id)) stream->incoming.clear();
+          return 0;
+        });
+    nghttp2_session_callbacks_set_on_header_callback(
+        c, [](nghttp2_session*, const nghttp2_frame* frame, const std::uint8_t* name, std::size_t name_size,
+              const std::uint8_t* value, std::size_t value_size, std::uint8_t, void* self) {
+          auto* stream = session_of(self).stream(frame->hd.stream_id);
+          if (!stream) return 0;
+          std::size_t size = name_size + value_size;
+          for (const auto& [n, v] : stream->incoming) size += n.size() + v.size();
+          if (size > most_header_bytes) return static_cast<int>(NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE);
+          stream->incoming.emplace_back(std::string(reinterpret_cast<const char*>(name), name_size),
+                                        std::string(reinterpret_cast<const char*>(value), value_size));
+          return 0;
+        });
+    nghttp2_session_callbacks_set_on_frame_recv_callback(
+        c, [](nghttp2_session*, const nghttp2_frame* frame, void* self) {
+          session_of(self).frame_received(*frame);
+          return 0;
+        });
+    nghttp2_session_callbacks_set_on_data_chunk_recv_callback(
+        c, [](nghttp2_session* session, std::uint8_t, std::int32_t id, const std::uint8_t* bytes,
+              std::size_t size, void* self) {
+          Session& s = session_of(self);
+          // The connection's window is given back at once, or one slow stream would stop all others.
+          nghttp2_session_consume_connection(session, size);
+          auto* stream = s.stream(id);
+          if (!stream || !stream->events) return 0;
+          stream->unconsumed += size;
+          stream->events->data({reinterpret_cast<const char*>(bytes), size});
+          if ((stream = s.stream(id)) && !stream->held_back)
+            nghttp2_session_consume_stream(session, id, std::exchange(stream->unconsumed, 0));
+          return 0;
+        });
+    nghttp2_session_callbacks_set_on_stream_close_callback(
+        c, [](nghttp2_session*, std::int32_t id, std::uint32_t code, void* self) {
+          session_of(self).stream_closed(id, code);
+          return 0;
+        });
+    nghttp2_session_callbacks_set_on_frame_send_callback(
+        c, [](nghttp2_session*, const nghttp2_frame* frame, void* self) {
+          Session& s = session_of(self);
+          auto* stream = s.stream(frame->hd.stream_id);
+          if (stream && (frame->hd.type == NGHTTP2_DATA || frame->hd.type == NGHTTP2_HEADERS) &&
+              (frame->hd.flags & NGHTTP2_FLAG_END_STREAM))
+            stream->sent_at = s.written_ + frame->hd.length + 9;
+          return 0;
+        });
+    return c;
+  }();
+  return made;
+}
+
+void Session::start(bool server) {
+  nghttp2_option* option = nullptr;
+  nghttp2_option_new(&option);
+  nghttp2_option_set_no_auto_window_update(option, 1);
+  nghttp2_session* made = nullptr;
+  if (server) nghttp2_session_server_new2(&made, callbacks(), this, option);
+  else nghttp2_session_client_new2(&made, callbacks(), this, option);
+  nghttp2_option_del(option);
+  session_.reset(made);
+  const nghttp2_settings_entry settings[] = {
+      {NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS, server ? limits_.streams : 0},
+      {NGHTTP2_SETTINGS_MAX_HEADER_LIST_SIZE, static_cast<std::uint32_t>(most_header_bytes)},
+      {NGHTTP2_SETTINGS_ENABLE_PUSH, 0}};
+  // Servers may not state ENABLE_PUSH.
+  nghttp2_submit_settings(session_.get(), NGHTTP2_FLAG_NONE, settings, server ? 2 : 3);
+  flush_soon();
+}
+
+Session::Stream* Session::stream(std::int32_t id) {
+  const auto found = streams_.find(id);
+  return found == streams_.end() ? nullptr : &found->second;
+}
+
+// ---- What is sent -----------------------------------------------------------------------------------------
+
+nghttp2_data_provider Session::body_source() {
+  nghttp2_data_provider provider{};
+  provider.read_callback = [](nghttp2_session*, std::int32_t id, std::uint8_t* buffer, std::size_t size,
+                              std::uint32_t* flags, nghttp2_data_source*, void* self) {
+    return session_of(self).fill(id, buffer, size, flags);
+  };
+  return provider;
+}
+
+std::int32_t Session::request(const Headers& headers, std::string body, StreamEvents& events) {
+  const auto nv = to_nv(headers);
+  const nghttp2_data_provider provider = body_source();
+  const auto id = nghttp2_submit_request(session_.get(), nullptr, nv.data(), nv.size(), &provider, nullptr);
+  if (id < 0) {  // the ids of this connection are used up
+    going_ = true;
+    return id;
+  }
+  Stream& stream = streams_[id];
+  stream.events = &events;
+  stream.responded = stream.ended = true;
+  stream.out_size = body.size();
+  stream.out.push_back(std::move(body));
+  flush_soon();
+  return id;
+}
+
+void Session::respond(std::int32_t id, const Headers& headers) {
+  Stream* stream = this->stream(id);
+  if (!stream || stream->responded) return;
+  stream->responded = true;
+  const auto nv = to_nv(headers);
+  const nghttp2_data_provider provider = body_source();
+  nghttp2_submit_response(session_.get(), id, nv.data(), nv.size(), &provider);
+  flush_soon();
+}
+
+void Session::write(std::int32_t id, std::string bytes) {
+  Stream* stream = this->stream(id);
+  if (!stream) return;
+  stream->out_size += bytes.size();
+  stream->full = stream->full || stream->out_size >= most_unsent;
+  stream->out.push_back(std::move(bytes));
+  if (std::exchange(stream->parked, false)) nghttp2_session_resume_data(session_.get(), id);
+  flush_soon();
+}
+
+void Session::finish(std::int32_t id, Headers trailers) {
+  Stream* stream = this->stream(id);
+  if (!stream) return;
+  stream->events = nullptr;
+  stream->ended = true;
+  stream->trailers = std::move(trailers);
+  if (!stream->responded) {  // headers and trailers in one
+    stream->responded = true;
+    const auto nv = to_nv(stream->trailers);
+    nghttp2_submit_response(session_.get(), id, nv.data(), nv.size(), nullptr);
+  } else if (std::exchange(stream->parked, false)) {
+    nghttp2_session_resume_data(session_.get(), id);
+  }
+  flush_soon();
+}
+
+void Session::reset(std::int32_t id, std::uint32_t code) {
+  Stream* stream = this->stream(id);
+  if (!stream) return;
+  stream->events = nullptr;
+  nghttp2_submit_rst_stream(session_.get(), NGHTTP2_FLAG_NONE, id, code);
+  flush_soon();
+}
+
+std::size_t Session::waiting(std::int32_t id) const {
+  const auto found = streams_.find(id);
+  return found == streams_.end() ? 0 : found->second.out_size;
+}
+
+void Session::hold_back(std::int32_t id, bool on) {
+  Stream* stream = this->stream(id);
+  if (!stream) return;
+  stream->held_back = on;
+  if (on) return;
+  nghttp2_session_consume_stream(session_.get(), id, std::exchange(stream->unconsumed, 0));
+  flush_soon();
+}
+
+ssize_t Session::fill(std::int32_t id, std::uint8_t* buffer, std::size_t size, std::uint32_t* flags) {
+  Stream* stream = this->stream(id);
+  if (!stream) return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
+  std::size_t filled = 0;
+  while (filled < size && !stream->out.empty()) {
+    const std::string& front = stream->out.front();
+    const std::size_t part = std::min(size - filled, front.size() - stream->out_offset);
+    std::memcpy(buffer + filled, front.data() + stream->out_offset, part);
+    filled += part;
+    stream->out_offset += part;
+    if (stream->out_offset == front.size()) {
+      stream->out.pop_front();
+      stream->out_offset = 0;
+    }
+  }
+  stream->out_size -= filled;
+  if (stream->out.empty() && stream->ended) {
+    *flags |= NGHTTP2_DATA_FLAG_EOF;
+    if (!stream->trailers.empty()) {
+      *flags |= NGHTTP2_DATA_FLAG_NO_END_STREAM;
+      const auto nv = to_nv(stream->trailers);
+      nghttp2_submit_trailer(session_.get(), id, nv.data(), nv.size());
+    }
+    return static_cast<ssize_t>(filled);
+  }
+  if (filled == 0) {
+    stream->parked = true;
+    return NGHTTP2_ERR_DEFERRED;
+  }
+  if (stream->full && stream->out_size < drained_below && stream->events) {
+    stream->full = false;
+    loop_.defer([weak = std::weak_ptr(self_), id] {
+      if (const auto self = weak.lock())
+        if (auto* one = (*self)->stream(id); one && one->events) one->events->drained();
+    });
+  }
+  return static_cast<ssize_t>(filled);
+}
+
+void Session::flush_soon() {
+  if (std::exchange(flush_pending_, true)) return;
+  loop_.defer([weak = std::weak_ptr(self_)] {
+    if (const auto self = weak.lock()) (*self)->flush();
+  });
+}
+
+void Session::flush() {
+  flush_pending_ = false;
+  if (closed_ || !connection_->started()) return;
+  while (connection_->unsent() < most_unsent) {
+    const std::uint8_t* bytes = nullptr;
+    const ssize_t size = nghttp2_session_mem_send(session_.get(), &bytes);
+    if (size < 0) return close();
+    if (size == 0) break;
+    written_ += static_cast<std::uint64_t>(size);
+    connection_->write({reinterpret_cast<const char*>(bytes), static_cast<std::size_t>(size)});
+  }
+  if (!nghttp2_session_want_read(session_.get()) && !nghttp2_session_want_write(session_.get()) &&
+      connection_->unsent() == 0)
+    close();
+}
+
+void Session::check_alive() {
+  if (closed_ || !connected_ || ping_timer_.pending()) return;
+  nghttp2_submit_ping(session_.get(), NGHTTP2_FLAG_NONE, nullptr);
+  ping_timer_.start(limits_.ping_timeout);
+  flush_soon();
+}
+
+void Session::go_away() {
+  if (closed_ || std::exchange(going_, true)) return;
+  nghttp2_submit_goaway(session_.get(), NGHTTP2_FLAG_NONE,
+                        nghttp2_session_get_last_proc_stream_id(session_.get()), NGHTTP2_NO_ERROR, nullptr, 0);
+  flush_soon();
+}
+
+// ---- What comes in ----------------------------------------------------------------------------------------
+
+void Session::on_connected() {
+  connected_ = true;
+  connect_timer_.stop();
+  flush();
+}
+
+void Session::on_readable() {
+  evbuffer* input = connection_->input();
+  while (!closed_ && evbuffer_get_length(input) > 0) {
+    const std::size_t size = evbuffer_get_contiguous_space(input);
+    const ssize_t taken = nghttp2_session_mem_recv(session_.get(), evbuffer_pullup(input, static_cast<ev_ssize_t>(size)), size);
+    if (taken < 0) {
+      // Guards against a peer that does not speak HTTP/2: the session can't go on, other peers are not hurt.
+      logging::info() << "an HTTP/2 connection is closed: " << nghttp2_strerror(static_cast<int>(taken));
+      return close();
+    }
+    evbuffer_drain(input, static_cast<std::size_t>(taken));
+  }
+  if (!closed_) flush();
+}
+
+void Session::frame_received(const nghttp2_frame& frame) {
+  const std::int32_t id = frame.hd.stream_id;
+  if (frame.hd.type == NGHTTP2_GOAWAY) going_ = true;
+  if (frame.hd.type == NGHTTP2_PING && (frame.hd.flags & NGHTTP2_FLAG_ACK)) ping_timer_.stop();
+  Stream* stream = this->stream(id);
+  if (!stream) return;
+  if (frame.hd.type == NGHTTP2_HEADERS) {
+    if (server_ && frame.headers.cat == NGHTTP2_HCAT_REQUEST) {
+      stream->events = owner_.opened(*this, id, stream->incoming);
+      if ((stream = this->stream(id)) && !stream->events && !stream->ended) reset(id, NGHTTP2_REFUSED_STREAM);
+    } else if (stream->events) {
+      stream->events->headers(stream->incoming);
+    }
+  }
+  const bool may_end = frame.hd.type == NGHTTP2_HEADERS || frame.hd.type == NGHTTP2_DATA;
+  stream = this->stream(id);
+  if (may_end && (frame.hd.flags & NGHTTP2_FLAG_END_STREAM) && stream && stream->events)
+    stream->events->half_closed();
+}
+
+bool Session::sent(const Stream& stream) const {
+  return stream.sent_at > 0 && written_ - connection_->unsent() >= stream.sent_at;
+}
+
+void Session::stream_closed(std::int32_t id, std::uint32_t code) {
+  const auto found = streams_.find(id);
+  if (found == streams_.end()) return;
+  StreamEvents* events = found->second.events;
+  // A stream that the peer refuses, or whose id its GOAWAY passes over, has certainly not been handled.
+  const bool was_sent = code != NGHTTP2_REFUSED_STREAM && sent(found->second);
+  streams_.erase(found);
+  if (events) events->closed(code, was_sent);
+}
+
+void Session::close() {
+  if (std::exchange(closed_, true)) return;
+  connect_timer_.stop();
+  ping_timer_.stop();
+  while (!streams_.empty()) {
+    const auto first = streams_.begin();
+    StreamEvents* events = first->second.events;
+    const bool was_sent = connected_ && sent(first->second);
+    streams_.erase(first);
+    if (events) events->closed(connection_lost, was_sent);
+  }
+  if (connection_->started()) connection_->end_sending();
+  owner_.closed(*this);
+}
+
+}  // namespace lemonroute::grpc
--- /dev/null
+++ b/src/grpc/session.h
@@ -0,0 +1,107 @@
+// One HTTP/2 connection, of either side: nghttp2's session, which does no I/O of its own, on a net::Connection.
+#pragma once
+
+#include <nghttp2/nghttp2.h>
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "grpc/message.h"
+#include "net/connection.h"
+
+namespace lemonroute::grpc {
+
+class Session;
+
+// What happens on one stream.
+class StreamEvents {
+ public:
+  virtual ~StreamEvents() = default;
+  virtual void headers(const Headers& headers) = 0;  // of an answer, and its trailers
+  virtual void data(std::string_view piece) = 0;
+  virtual void half_closed() {}  // the peer has sent all it had
+  virtual void drained() {}      // little of what was written still waits
+  // The stream is over, and the last that is heard of it. `code` is the error of HTTP/2 (0 = none) or
+  // connection_lost; `sent` tells whether all that was written had left, so that the peer may have it.
+  virtual void closed(std::uint32_t code, bool sent) = 0;
+};
+constexpr std::uint32_t connection_lost = 0xffffffff;
+
+class SessionOwner {
+ public:
+  virtual ~SessionOwner() = default;
+  // A server's new stream. Without events it is reset.
+  virtual StreamEvents* opened(Session&, std::int32_t, const Headers&) { return nullptr; }
+  virtual void closed(Session& session) = 0;  // the owner disposes of the session
+};
+
+class Session : net::Connection::Handler {
+ public:
+  struct Limits {
+    std::chrono::microseconds connect_timeout{std::chrono::milliseconds(250)};
+    std::chrono::microseconds ping_timeout{std::chrono::seconds(1)};
+    std::uint32_t streams = 128;
+  };
+  Session(net::Loop& loop, evutil_socket_t accepted, SessionOwner& owner, Limits limits);         // server
+  Session(net::Loop& loop, const std::string& address, SessionOwner& owner, Limits limits);  // client
+  ~Session() override;
+  Session(const Session&) = delete;
+  Session& operator=(const Session&) = delete;
+
+  bool usable() const { return !closed_ && !going_; }  // for a new request
+  bool quiet() const { return streams_.empty(); }
+
+  std::int32_t request(const Headers& headers, std::string body, StreamEvents& events);  // client
+  void respond(std::int32_t id, const Headers& headers);                                 // server
+  void write(std::int32_t id, std::string bytes);
+  void finish(std::int32_t id, Headers trailers);  // after what was written; trailers without headers if none
+  void reset(std::int32_t id, std::uint32_t code);  // and nothing more is told of the stream
+  std::size_t waiting(std::int32_t id) const;       // bytes written that have not left
+  void hold_back(std::int32_t id, bool on);         // lets the peer wait with its data
+  void check_alive();                               // closes the connection unless the peer answers a ping
+  void go_away();                                   // takes no more streams
+  void close();                                     // now; open streams are told
+
+ private:
+  struct Stream {
+    StreamEvents* events = nullptr;
+    Headers incoming;
+    std::deque<std::string> out;
+    std::size_t out_offset = 0, out_size = 0, unconsumed = 0;
+    Headers trailers;
+    bool responded = false, ended = false, held_back = false, parked = false, full = false;
+    std::uint64_t sent_at = 0;  // count of bytes written when the last of it went out; 0 = not yet
+  };
+  struct Free {
+    void operator()(nghttp2_session* session) const { nghttp2_session_del(session); }
+  };
+  void start(bool server);
+  void flush();
+  void flush_soon();
+  void on_connected() override;
+  void on_readable() override;
+  void on_drained() override { flush(); }
+  void on_closed() override { close(); }
+  void frame_received(const nghttp2_frame& frame);
+  void stream_closed(std::int32_t id, std::uint32_t code);
+  bool sent(const Stream& stream) const;
+  ssize_t fill(std::int32_t id, std::uint8_t* buffer, std::size_t size, std::uint32_t* flags);
+  Stream* stream(std::int32_t id);
+  static nghttp2_data_provider body_source();
+  static nghttp2_session_callbacks* callbacks();
+
+  net::Loop& loop_;
+  SessionOwner& owner_;
+  Limits limits_;
+  bool server_, connected_, closed_ = false, going_ = false, flush_pending_ = false;
+  std::uint64_t written_ = 0;
+  std::map<std::int32_t, Stream> streams_;
+  std::shared_ptr<Session*> self_;  // outlived by weak references of deferred jobs
+  net::Timer connect_timer_, ping_timer_;
+  std::unique_ptr<nghttp2_session, Free> session_;
+  std::unique_ptr<net::Connection> connection_;
+};
+
+}  // namespace lemonroute::grpc
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -22,12 +22,6 @@
   return error == std::errc() && end == text.data() + text.size() && value >= 0 && value <= most;
 }
 
-bool valid_id(std::string_view id) {
-  return !id.empty() && id.size() <= 128 && std::all_of(id.begin(), id.end(), [](char c) {
-    return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || c == '-' || c == '_';
-  });
-}
-
 const char* reason(int status) {
   switch (status) {
     case 200: return "OK";
