--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -1,16 +1,8 @@
-// lemonroute: the command line.
-#include <cstdlib>
-#include <exception>
+// lemonroute: the program.
 #include <iostream>
 
-#include "cli/serve.h"
+#include "cli/commands.h"
 
-int main() {
-  using namespace lemonroute;
-  try {
-    return cli::serve(config::load_platform([](const char* name) { return std::getenv(name); }));
-  } catch (const std::exception& error) {
-    std::cerr << "lemonroute: " << error.what() << '\n';
-    return 1;
-  }
+int main(int argc, char** argv) {
+  return lemonroute::cli::run({argv + 1, argv + argc}, std::cout, std::cerr);
 }
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -6,8 +6,12 @@
 
 #include "base/log.h"
 #include "discovery/watch.h"
+#include "grpc/front.h"
+#include "grpc/node_client.h"
 #include "http/front.h"
 #include "http/node_client.h"
+#include "ops/agent_check.h"
+#include "ops/health_service.h"
 
 namespace lemonroute::cli {
 namespace {
@@ -18,19 +22,41 @@
 constexpr milliseconds arrival_window{600};
 constexpr milliseconds end_poll{20};
 
+std::unique_ptr<Nodes> make_nodes(net::Loop& loop, const config::Platform& platform, bool grpc) {
+  if (grpc) return std::make_unique<grpc::NodeClient>(loop, grpc::Session::Limits{platform.settings.connect_timeout});
+  // Nodes close what has been idle for the platform's time; a request written to it then is lost.
+  return std::make_unique<http::NodeClient>(
+      loop, http::ClientLimits{platform.settings.connect_timeout, platform.connection_idle * 6 / 10});
+}
+
+http::Front::Options front_options(const config::Platform& platform, const config::Operator& settings) {
+  http::Front::Options options{{platform.listen}, platform.sockets / 2};
+  options.listen.insert(options.listen.end(), settings.http_listen.begin(), settings.http_listen.end());
+  return options;
+}
+
 class Program {
  public:
-  explicit Program(const config::Platform& platform)
-      : nodes_(loop_, {platform.settings.connect_timeout, platform.connection_idle * 6 / 10, 64}),
-        conductor_(platform.settings, platform.zones, platform.kinds, platform.seed, clock_, nodes_),
-        front_(loop_, conductor_, {platform.listen, platform.sockets / 2}),
+  Program(const config::Platform& platform, const config::Operator& settings)
+      : nodes_(make_nodes(loop_, platform, settings.grpc_nodes)),
+        conductor_(platform.settings, platform.zones, platform.kinds, platform.seed, clock_, *nodes_),
+        status_(conductor_),
+        front_(loop_, conductor_, front_options(platform, settings)),
         watch_(loop_, platform.discovery, conductor_),
         due_(loop_, [this] { conductor_.run_due(); }),
-        window_(loop_, [this] { front_.stop_accepting(); poll_end(); }),
+        window_(loop_, [this] { stop_accepting(); }),
         ended_(loop_, [this] { poll_end(); }),
         term_(loop_, SIGTERM, [this] { drain("SIGTERM"); }),
         interrupt_(loop_, SIGINT, [this] { drain("SIGINT"); }) {
-    conductor_.on_change = [this] { arm(); };
+    if (!settings.grpc_listen.empty()) {
+      grpc_ = std::make_unique<Grpc>(*this, settings);
+      logging::info() << "gRPC on " << settings.grpc_listen;
+    }
+    if (!settings.agent_check_listen.empty()) {
+      agent_ = std::make_unique<ops::AgentCheck>(loop_, settings.agent_check_listen, status_);
+      logging::info() << "agent-check on " << settings.agent_check_listen;
+    }
+    conductor_.on_change = [this] { changed(); };
     conductor_.update(ListKind::cached, platform.known.version, platform.known.nodes);
     watch_.start();
   }
@@ -40,7 +66,21 @@
   void run() { loop_.run(); }
 
  private:
-  void arm() {
+  struct Grpc {
+    Grpc(Program& program, const config::Operator& settings)
+        : front(program.conductor_),
+          health(program.status_),
+          server(program.loop_, settings.grpc_listen, static_cast<std::size_t>(settings.grpc_connections)) {
+      server.add(front);
+      server.add(health);
+    }
+    grpc::Front front;
+    ops::HealthService health;
+    grpc::Server server;
+  };
+
+  void changed() {
+    status_.check();
     if (const auto due = conductor_.next_due()) due_.start(*due - clock_.now());
     else due_.stop();
   }
@@ -51,10 +91,16 @@
     draining_ = true;
     logging::info() << signal << ": draining, " << conductor_.open() << " requests open";
     front_.drain();
+    status_.drain();
     window_.start(arrival_window);
   }
+  void stop_accepting() {
+    front_.stop_accepting();
+    if (grpc_) grpc_->server.stop_accepting();
+    poll_end();
+  }
   void poll_end() {
-    if (conductor_.idle() && front_.idle()) {
+    if (conductor_.idle() && front_.idle() && (!grpc_ || grpc_->server.idle())) {
       logging::info() << "drained, ending";
       loop_.stop();
       return;
@@ -64,24 +110,28 @@
 
   SystemClock clock_;
   net::Loop loop_;
-  http::NodeClient nodes_;
+  std::unique_ptr<Nodes> nodes_;
   Conductor conductor_;
+  ops::Status status_;
   http::Front front_;
   discovery::Watch watch_;
   net::Timer due_, window_, ended_;
   net::Signal term_, interrupt_;
+  std::unique_ptr<Grpc> grpc_;
+  std::unique_ptr<ops::AgentCheck> agent_;
   bool draining_ = false;
 };
 
 }  // namespace
 
-int serve(const config::Platform& platform) {
+int serve(const config::Platform& platform, const config::Operator& settings) {
   std::signal(SIGPIPE, SIG_IGN);
+  logging::set_level(settings.log_level);
   rlimit limit{};
   getrlimit(RLIMIT_NOFILE, &limit);
-  Program program(platform);
-  logging::info() << platform.name << " serves on " << platform.listen << ", discovery at "
-                  << platform.discovery << ", " << limit.rlim_cur << " descriptors";
+  Program program(platform, settings);
+  logging::info() << settings.application << ' ' << platform.name << " serves on " << platform.listen
+                  << ", discovery at " << platform.discovery << ", " << limit.rlim_cur << " descriptors";
   program.run();
   return 0;
 }
--- a/src/cli/serve.h
+++ b/src/cli/serve.h
@@ -1,10 +1,11 @@
 // The running program: everything put together, until it is told to end.
 #pragma once
 
+#include "config/operator.h"
 #include "config/platform.h"
 
 namespace lemonroute::cli {
 
-int serve(const config::Platform& platform);
+int serve(const config::Platform& platform, const config::Operator& settings);  // throws if it can't start
 
 }  // namespace lemonroute::cli
--- /dev/null
+++ b/src/config/operator.h
@@ -0,0 +1,36 @@
+// The operator's file: what is switched on beyond the platform's own protocol.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "base/log.h"
+
+namespace lemonroute::config {
+
+struct Operator {
+  std::string application = "lemonroute";
+  std::string platform_file;  // empty: BALANCER_CONFIG names it
+  logging::Level log_level = logging::Level::info;
+  std::vector<std::string> http_listen;  // beyond the platform's
+  std::string grpc_listen;               // empty: off
+  std::int64_t grpc_connections = 64;
+  bool grpc_nodes = false;
+  std::string agent_check_listen;  // empty: off
+};
+
+// A fault in a configuration file, for a person to find: FILE:LINE: KEY: what is wrong.
+struct Fault {
+  std::string file;
+  std::size_t line = 0;  // 0 = of the file as a whole
+  std::string key, what;
+  std::string text() const;
+};
+
+// All faults at once; the result is of use only if there are none.
+Operator read_operator(const std::string& path, std::vector<Fault>& faults);
+
+// A commented file with every key, for the application named.
+std::string operator_template(const std::string& application);
+
+}  // namespace lemonroute::config
--- a/src/core/conductor.cpp
+++ b/src/core/conductor.cpp
@@ -41,7 +41,7 @@
   Try(Conductor& owner, RequestId of, std::uint16_t number, HostId at, Micros now)
       : conductor(owner), request(of), number(number), host(at), sent(now) {}
   void event(std::string_view data) override { conductor.event(*this, data); }
-  void done(const Result& result) override { conductor.done(*this, result); }
+  void done(Result result) override { conductor.done(*this, std::move(result)); }
 
   Conductor& conductor;
   RequestId request;
@@ -321,7 +321,8 @@
   if (entry.client && !entry.client->event(data) && entry.out) entry.out->call->hold_back(true);
 }
 
-void Conductor::done(Try& attempt, const Result& result) {
+// Guards against a result that lives in the call, which is let go of here: it is taken by value.
+void Conductor::done(Try& attempt, Result result) {
   Entry& entry = *find(attempt.request);
   timers_.drop(attempt.timer);
   const std::unique_ptr<Try> ended = std::move(entry.out);
--- a/src/core/conductor.h
+++ b/src/core/conductor.h
@@ -71,7 +71,7 @@
   void act(const Snapshot&) {}
 
   void event(Try& attempt, std::string_view data);
-  void done(Try& attempt, const Result& result);
+  void done(Try& attempt, Result result);
   void stalled(Try& attempt);
   void timed_out(Try& attempt);
   void end(Entry& entry);
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -92,8 +92,8 @@
 class Attempt {
  public:
   virtual ~Attempt() = default;
-  virtual void event(std::string_view data) = 0;
-  virtual void done(const Result& result) = 0;  // once, and never from within begin
+  virtual void event(std::string_view data) = 0;  // the call may be let go of by the time it returns
+  virtual void done(Result result) = 0;  // once, and never from within begin; the call is gone after it
 };
 
 // A call to a node that is under way. Letting go of it gives the call up.
--- a/src/grpc/message.h
+++ b/src/grpc/message.h
@@ -33,6 +33,7 @@
 
 std::string frame(std::string_view message);
 template <class Message>
+  requires requires(const Message& message) { message.SerializeAsString(); }
 std::string frame(const Message& message) {
   return frame(std::string_view(message.SerializeAsString()));
 }
--- a/src/grpc/server.cpp
+++ b/src/grpc/server.cpp
@@ -40,7 +40,9 @@
 }
 
 void ServerCall::closed(std::uint32_t, bool) {
-  if (!std::exchange(over_, true)) on_over_();
+  if (std::exchange(over_, true)) return;
+  method_.reset();  // the client has gone, and what is done for it ends now
+  on_over_();
 }
 
 Server::Server(net::Loop& loop, const std::string& listen, std::size_t most_connections)
--- a/src/grpc/server.h
+++ b/src/grpc/server.h
@@ -58,7 +58,6 @@
   std::uint16_t port() const { return listener_->port(); }
   void stop_accepting();  // calls that are open go on
   bool idle() const { return sessions_.empty(); }
-  std::size_t calls() const { return calls_.size(); }
 
  private:
   StreamEvents* opened(Session& session, std::int32_t id, const Headers& headers) override;
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -192,7 +192,7 @@
     return false;
   }
   void finish() override {
-    connection_.write("0\r\n\r\n");
+    connection_.write("e\r\ndata: [DONE]\n\n\r\n0\r\n\r\n");
     complete(closes_);
   }
   void refuse(Micros stay_away) override {
@@ -264,17 +264,17 @@
 };
 
 Front::Front(net::Loop& loop, Conductor& conductor, Options options)
-    : loop_(loop),
-      conductor_(conductor),
-      options_(std::move(options)),
-      listener_(std::make_unique<net::Listener>(loop, options_.listen,
-                                                [this](evutil_socket_t fd) { accept(fd); })) {}
+    : loop_(loop), conductor_(conductor), options_(std::move(options)) {
+  for (const auto& address : options_.listen)
+    listeners_.push_back(
+        std::make_unique<net::Listener>(loop, address, [this](evutil_socket_t fd) { accept(fd); }));
+}
 Front::~Front() = default;
 
 void Front::accept(evutil_socket_t fd) {
   auto connection = std::make_unique<ClientConnection>(*this, fd);
   connections_[connection.get()] = std::move(connection);
-  if (connections_.size() >= options_.most_connections) listener_->pause(true);
+  if (connections_.size() >= options_.most_connections) pause(true);
 }
 
 void Front::discard(ClientConnection& connection) {
@@ -282,13 +282,17 @@
   if (found == connections_.end()) return;
   loop_.dispose(std::move(found->second));
   connections_.erase(found);
-  if (listener_ && connections_.size() + 1 == options_.most_connections) listener_->pause(false);
+  if (connections_.size() + 1 == options_.most_connections) pause(false);
+}
+
+void Front::pause(bool on) {
+  for (const auto& listener : listeners_) listener->pause(on);
 }
 
 void Front::drain() { draining_ = true; }
 
 void Front::stop_accepting() {
-  listener_.reset();
+  listeners_.clear();
   std::vector<ClientConnection*> resting;
   for (const auto& [connection, owned] : connections_)
     if (connection->between_requests()) resting.push_back(connection);
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "core/conductor.h"
 #include "net/connection.h"
@@ -15,7 +16,7 @@
 class Front {
  public:
   struct Options {
-    std::string listen;
+    std::vector<std::string> listen;
     std::size_t most_connections = 400;
     Micros idle{std::chrono::seconds(75)};    // between requests
     Micros sending{std::chrono::seconds(10)};  // for a request to come whole, or an answer to be taken
@@ -23,7 +24,7 @@
   Front(net::Loop& loop, Conductor& conductor, Options options);
   ~Front();
 
-  std::uint16_t port() const { return listener_->port(); }
+  std::uint16_t port() const { return listeners_.front()->port(); }
   void drain();             // from now on connections end after their answer
   void stop_accepting();    // and connections between requests are closed
   bool idle() const { return connections_.empty(); }
@@ -31,6 +32,7 @@
  private:
   friend class ClientConnection;
   void accept(evutil_socket_t fd);
+  void pause(bool on);
   void discard(ClientConnection& connection);
 
   net::Loop& loop_;
@@ -38,7 +40,7 @@
   Options options_;
   bool draining_ = false;
   std::map<ClientConnection*, std::unique_ptr<ClientConnection>> connections_;
-  std::unique_ptr<net::Listener> listener_;
+  std::vector<std::unique_ptr<net::Listener>> listeners_;
 };
 
 }  // namespace lemonroute::http
--- a/src/http/node_client.cpp
+++ b/src/http/node_client.cpp
@@ -78,10 +78,12 @@
   }
 
   bool event(std::string_view data) {
-    if (data == "[DONE]") done_seen_ = true;
-    else if (data.find("\"usage\"") != std::string_view::npos) result_.kept = kept_tokens(data);
+    // The end mark belongs to this wire; the front that serves the client has its own.
+    done_seen_ = data == "[DONE]";
+    if (done_seen_) return true;
+    if (data.find("\"usage\"") != std::string_view::npos) result_.kept = kept_tokens(data);
     events_ = true;
-    attempt_.event(data);  // may let go of nothing: the core ends an attempt only between events
+    attempt_.event(data);
     return true;
   }
 
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -22,9 +22,15 @@
 }  // namespace
 
 Endpoint::Endpoint(const std::string& text) {
-  if (evutil_parse_sockaddr_port(text.c_str(), reinterpret_cast<sockaddr*>(&storage_), &length_) != 0 ||
+  // libevent takes no port 0, which asks for any free one when listening.
+  const bool any_port = text.ends_with(":0");
+  const std::string parsed = any_port ? text.substr(0, text.size() - 1) + "1" : text;
+  auto* address = reinterpret_cast<sockaddr*>(&storage_);
+  if (evutil_parse_sockaddr_port(parsed.c_str(), address, &length_) != 0 ||
       text.rfind(':') == std::string::npos || text.back() == ']')
     throw std::invalid_argument("'" + text + "' is not an address of the form IP:PORT");
+  if (any_port && address->sa_family == AF_INET) reinterpret_cast<sockaddr_in*>(address)->sin_port = 0;
+  if (any_port && address->sa_family == AF_INET6) reinterpret_cast<sockaddr_in6*>(address)->sin6_port = 0;
 }
 
 Connection::Connection(Loop& loop, evutil_socket_t accepted, Handler& handler)
--- /dev/null
+++ b/tests/net/core_test.cpp
@@ -0,0 +1,221 @@
+// The core without sockets: its rules against nodes and clients that only take notes.
+#undef NDEBUG
+#include <cassert>
+#include <cmath>
+#include <iostream>
+
+#include "core/conductor.h"
+#include "core/load_report.h"
+
+namespace {
+
+using namespace lemonroute;
+using namespace std::chrono_literals;
+
+struct TestClock : Clock {
+  Micros at = 1h;
+  Micros now() const override { return at; }
+};
+
+struct NoteCall : Call {
+  explicit NoteCall(std::function<void()> over) : over_(std::move(over)) {}
+  ~NoteCall() override { over_(); }
+  std::function<void()> over_;
+};
+
+struct TestNodes : Nodes {
+  struct Begun {
+    HostId host;
+    Attempt* attempt;
+    bool open;
+  };
+  std::vector<Begun> begun;
+  std::vector<std::pair<HostId, std::function<void(bool)>>> released;
+  std::unique_ptr<Call> begin(const Node& node, const Prompt&, Micros, Attempt& attempt) override {
+    for (const auto& one : begun) assert(!one.open);  // never two attempts out at once
+    begun.push_back({node.id, &attempt, true});
+    return std::make_unique<NoteCall>([this, i = begun.size() - 1] { begun[i].open = false; });
+  }
+  std::unique_ptr<Call> release(const Node& node, const std::string&, std::function<void(bool)> done) override {
+    released.emplace_back(node.id, std::move(done));
+    return std::make_unique<NoteCall>([] {});
+  }
+  std::unique_ptr<Call> probe(const Node&, std::function<void(const Result&)>) override { return nullptr; }
+  void hang_up(const Node&) override {}
+};
+
+struct TestClient : Client {
+  std::string seen;
+  int answers = 0;
+  bool event(std::string_view data) override {
+    seen += data;
+    return true;
+  }
+  void finish() override { ++answers, seen += "|end"; }
+  void refuse(Micros) override { ++answers, seen += "|refused"; }
+  void fail(Failure) override { ++answers, seen += "|failed"; }
+  void cut() override { ++answers, seen += "|cut"; }
+};
+
+Settings settings() {
+  Settings s;
+  ClassSettings c;
+  c.name = "k";
+  c.aim = 1500ms;
+  c.deadline = 6s;
+  s.classes = {c};
+  s.kind_role = {Role::read, Role::write};
+  s.kind_memory = {200000, 150000};
+  s.report_columns = {"active", "x0"};
+  s.max_attempts = 6;
+  s.may_cancel = true;
+  s.cold_for = 13s;
+  s.fall_window = 1s;
+  return s;
+}
+
+struct Bed {
+  TestClock clock;
+  TestNodes nodes;
+  TestClient client;
+  Conductor core{settings(), {"a"}, {"r", "w"}, 1, clock, nodes};
+  RequestId id = 0;
+  std::string next_id = "q";
+
+  static Conductor::Listed node(const std::string& name, Phase phase = Phase::ready) {
+    return {name, "127.0.0.1:1", "a", name.substr(0, 1), 0, phase, 1, Micros(0)};
+  }
+  explicit Bed(std::vector<std::string> names = {"r", "w"}) {
+    std::vector<Conductor::Listed> list;
+    for (const auto& name : names) list.push_back(node(name));
+    core.update(ListKind::full, 1, list);
+  }
+  void take() {
+    Inquiry inquiry;
+    inquiry.prompt = {next_id, "/", std::make_shared<std::string>("{}")};
+    inquiry.kind = "k";
+    inquiry.prompt_tokens = 100;
+    assert(core.take(inquiry, client, id) == Conductor::Taken::yes);
+  }
+  void done(Outcome outcome, std::uint32_t kept = 0) {
+    nodes.begun.back().attempt->done({outcome, kept, {}, {}});
+  }
+  void pass(Micros span) {
+    clock.at += span;
+    core.run_due();
+  }
+};
+
+void served() {
+  Bed bed;
+  bed.take();
+  bed.done(Outcome::read);
+  assert(bed.nodes.begun.size() == 2);
+  bed.nodes.begun[1].attempt->event("a");
+  bed.done(Outcome::ok);
+  assert(bed.client.seen == "a|end" && bed.client.answers == 1);
+  assert(bed.nodes.released.empty() && bed.core.idle());
+}
+
+// A release goes on until it has arrived: the holder, then any other node, and the holder again.
+void release_again() {
+  Bed bed({"r", "w", "w2"});
+  bed.take();
+  bed.done(Outcome::read);
+  bed.core.gone(bed.id);
+  assert(!bed.nodes.begun.back().open);
+  assert(bed.nodes.released.size() == 1 && bed.nodes.released[0].first == bed.nodes.begun[0].host);
+  for (std::size_t tries = 1; tries < 5; ++tries) {
+    const auto done = bed.nodes.released.back().second;
+    done(false);
+    bed.pass(100ms);
+    assert(bed.nodes.released.size() == tries + 1);
+  }
+  assert(bed.nodes.released[1].first != bed.nodes.begun[0].host);
+  assert(bed.nodes.released[2].first == bed.nodes.begun[0].host);
+  assert(!bed.core.idle());
+  const auto done = bed.nodes.released.back().second;
+  done(true);
+  assert(bed.core.idle() && bed.client.answers == 0);
+}
+
+// A read that is cut may have ended well: released when the request ends without another attempt.
+void cut_read() {
+  for (const Outcome outcome : {Outcome::reset, Outcome::error}) {
+    Bed bed;
+    bed.take();
+    for (int i = 0; i < 5; ++i) bed.done(outcome);
+    assert(bed.nodes.begun.size() == 5 && bed.client.answers == 1);
+    assert(bed.nodes.released.size() == 1);
+  }
+  Bed bed;
+  bed.take();
+  bed.done(Outcome::full);  // proves that nothing ran
+  assert(bed.nodes.released.empty());
+}
+
+void deadline() {
+  Bed bed;
+  bed.take();
+  bed.pass(5999ms);
+  assert(bed.client.answers == 0);
+  bed.pass(1ms);
+  assert(bed.client.seen == "|failed" && !bed.nodes.begun.back().open);
+  assert(bed.nodes.released.size() == 1);
+}
+
+void drained_node_gets_nothing() {
+  Bed bed;
+  bed.core.update(ListKind::delta, 2, {Bed::node("r", Phase::draining)});
+  bed.take();
+  assert(bed.nodes.begun.empty() && bed.client.seen == "|refused");
+  // A whole list that does not name a node any more tells that it is gone.
+  bed.core.update(ListKind::full, 3, {Bed::node("w")});
+  assert(bed.core.ready_nodes() == 1);
+}
+
+// What comes for a client that has gone is passed to nobody, and the stream is ended at the node.
+void gone_in_stream() {
+  Bed bed;
+  bed.take();
+  bed.done(Outcome::read);
+  bed.nodes.begun[1].attempt->event("a");
+  bed.core.gone(bed.id);
+  assert(!bed.nodes.begun[1].open && bed.client.answers == 0 && bed.core.idle());
+}
+
+void unknown_and_duplicate() {
+  Bed bed;
+  bed.take();
+  Inquiry inquiry;
+  inquiry.prompt.id = "q";
+  inquiry.kind = "k";
+  RequestId id = 0;
+  assert(bed.core.take(inquiry, bed.client, id) == Conductor::Taken::duplicate);
+  inquiry.kind = "other";
+  assert(bed.core.take(inquiry, bed.client, id) == Conductor::Taken::unknown_kind);
+  assert(bed.core.open() == 1);
+}
+
+void load_reports() {
+  const std::vector<std::string> columns{"active", "waiting", "x0"};
+  const auto values = parse_load("inflight=7, queue=2,x0=0.5,other=1", columns);
+  assert((values == std::vector<float>{7, 2, 0.5f}));
+  for (const char* bad : {"", "x0", "x0=", "x0=nan", "x0=inf", "x0=1x", "=,=", "zz=1", ",,,"})
+    assert(parse_load(bad, columns).empty());
+  assert(std::isnan(parse_load("x0=1", columns)[0]));
+}
+
+}  // namespace
+
+int main() {
+  served();
+  release_again();
+  cut_read();
+  deadline();
+  drained_node_gets_nothing();
+  gone_in_stream();
+  unknown_and_duplicate();
+  load_reports();
+  std::cout << "core: all checks passed\n";
+}
