Hold the silence watch while a slow client holds its stream back; bound idle connections in sum

The watch for a silent stream ran on while the core itself had stopped the node (Conductor::event), so a client that paused for 4.5 s would have lost its stream. Idle node connections were bounded for each address only, which with 13 nodes could pass the descriptor limit; they are bounded for all together now.

--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -26,11 +26,12 @@
   if (grpc) return std::make_unique<grpc::NodeClient>(loop, grpc::Session::Limits{platform.settings.connect_timeout});
   // Nodes close what has been idle for the platform's time; a request written to it then is lost.
   return std::make_unique<http::NodeClient>(
-      loop, http::ClientLimits{platform.settings.connect_timeout, platform.connection_idle * 6 / 10});
+      loop, http::ClientLimits{platform.settings.connect_timeout, platform.connection_idle * 6 / 10, platform.sockets / 8});
 }
 
+// Descriptors: two fifths for clients, as many for the calls made for them, an eighth for idle connections.
 http::Front::Options front_options(const config::Platform& platform, const config::Operator& settings) {
-  http::Front::Options options{{platform.listen}, platform.sockets / 2};
+  http::Front::Options options{{platform.listen}, platform.sockets * 2 / 5};
   options.listen.insert(options.listen.end(), settings.http_listen.begin(), settings.http_listen.end());
   return options;
 }
--- a/src/core/conductor.cpp
+++ b/src/core/conductor.cpp
@@ -177,7 +177,10 @@
 
 void Conductor::drained(RequestId id) {
   const Entry* entry = find(id);
-  if (entry && entry->out && entry->out->call) entry->out->call->hold_back(false);
+  if (!entry || !entry->out || !entry->out->started) return;
+  entry->out->call->hold_back(false);
+  watch_silence(*entry->out);
+  if (on_change) on_change();
 }
 
 void Conductor::end(Entry& entry) {
@@ -312,13 +315,20 @@
 
 void Conductor::event(Try& attempt, std::string_view data) {
   Entry& entry = *find(attempt.request);
-  timers_.drop(attempt.timer);
-  attempt.timer = timers_.add(clock_.now() + stream_silence, [this, &attempt] { stalled(attempt); });
+  watch_silence(attempt);
   if (!std::exchange(attempt.started, true)) {
     entry.leftover.reset();
     put(First{attempt.request, attempt.host, attempt.number, clock_.now() - attempt.sent});
   }
-  if (entry.client && !entry.client->event(data) && entry.out) entry.out->call->hold_back(true);
+  if (!entry.client || entry.client->event(data)) return;
+  // Guards a slow client's stream: while it is held back the node's silence is of our own making.
+  timers_.drop(attempt.timer);
+  attempt.call->hold_back(true);
+}
+
+void Conductor::watch_silence(Try& attempt) {
+  timers_.drop(attempt.timer);
+  attempt.timer = timers_.add(clock_.now() + stream_silence, [this, &attempt] { stalled(attempt); });
 }
 
 // Guards against a result that lives in the call, which is let go of here: it is taken by value.
--- a/src/core/conductor.h
+++ b/src/core/conductor.h
@@ -72,6 +72,7 @@
 
   void event(Try& attempt, std::string_view data);
   void done(Try& attempt, Result result);
+  void watch_silence(Try& attempt);
   void stalled(Try& attempt);
   void timed_out(Try& attempt);
   void end(Entry& entry);
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -131,6 +131,7 @@
   if (!idle.empty()) {
     connection = idle.front();
     idle.pop_front();
+    --idle_count_;
   } else {
     auto made = std::make_unique<PooledConnection>(*this, address);
     connection = made.get();
@@ -149,16 +150,18 @@
 }
 
 void Client::idle(PooledConnection& connection) {
-  auto& idle = idle_[connection.address()];
-  idle.push_front(&connection);
+  // Guards the process's descriptors: what rests here is what clients and calls can't have.
+  if (idle_count_ >= limits_.idle_most) return discard(connection);
+  idle_[connection.address()].push_front(&connection);
+  ++idle_count_;
   connection.rest();
-  if (idle.size() > limits_.idle_most) discard(*idle.back());
 }
 
 void Client::discard(PooledConnection& connection) {
   const auto found = all_.find(&connection);
   if (found == all_.end()) return;
-  if (const auto idle = idle_.find(connection.address()); idle != idle_.end()) idle->second.remove(&connection);
+  if (const auto idle = idle_.find(connection.address()); idle != idle_.end())
+    idle_count_ -= idle->second.remove(&connection);
   loop_.dispose(std::move(found->second));
   all_.erase(found);
 }
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -34,7 +34,7 @@
 struct ClientLimits {
   microseconds connect_timeout{std::chrono::milliseconds(250)};
   microseconds idle{std::chrono::seconds(8)};  // idle connections are retired after it
-  std::size_t idle_most = 64;                  // of one address
+  std::size_t idle_most = 64;                  // of all addresses together
 };
 
 class PooledConnection;
@@ -70,6 +70,7 @@
   net::Loop& loop_;
   ClientLimits limits_;
   std::map<std::string, std::list<PooledConnection*>> idle_;  // the last used first
+  std::size_t idle_count_ = 0;
   std::map<PooledConnection*, std::unique_ptr<PooledConnection>> all_;
 };
 
--- a/tests/net/core_test.cpp
+++ b/tests/net/core_test.cpp
@@ -47,9 +47,10 @@
 struct TestClient : Client {
   std::string seen;
   int answers = 0;
+  bool slow = false;
   bool event(std::string_view data) override {
     seen += data;
-    return true;
+    return !slow;
   }
   void finish() override { ++answers, seen += "|end"; }
   void refuse(Micros) override { ++answers, seen += "|refused"; }
@@ -184,6 +185,22 @@
   assert(!bed.nodes.begun[1].open && bed.client.answers == 0 && bed.core.idle());
 }
 
+// The node's silence counts only while it may send.
+void slow_client() {
+  Bed bed;
+  bed.take();
+  bed.done(Outcome::read);
+  bed.client.slow = true;
+  bed.nodes.begun[1].attempt->event("a");
+  bed.pass(6s);
+  assert(bed.nodes.begun[1].open && bed.client.answers == 0);
+  bed.core.drained(bed.id);
+  bed.pass(4499ms);
+  assert(bed.client.answers == 0);
+  bed.pass(1ms);
+  assert(bed.client.seen == "a|cut" && !bed.nodes.begun[1].open);
+}
+
 void unknown_and_duplicate() {
   Bed bed;
   bed.take();
@@ -215,6 +232,7 @@
   deadline();
   drained_node_gets_nothing();
   gone_in_stream();
+  slow_client();
   unknown_and_duplicate();
   load_reports();
   std::cout << "core: all checks passed\n";
--- /dev/null
+++ b/tests/net/tools_test.cpp
@@ -0,0 +1,204 @@
+// What operators touch: the command line, agent-check and grpc.health.v1.
+#undef NDEBUG
+#include <cassert>
+#include <cstdio>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+#include "cli/commands.h"
+#include "config/operator.h"
+#include "ops/agent_check.h"
+#include "ops/health_service.h"
+#include "proto/health.pb.h"
+
+namespace {
+
+using namespace lemonroute;
+using std::string;
+
+struct Ran {
+  int code;
+  string out, err;
+};
+Ran run(const std::vector<string>& arguments) {
+  std::ostringstream out, err;
+  const int code = cli::run(arguments, out, err);
+  return {code, out.str(), err.str()};
+}
+
+string write_file(const string& text) {
+  const string path = "tools_test.toml";
+  std::ofstream(path) << text;
+  return path;
+}
+
+void command_line() {
+  assert(run({"version"}).out.starts_with("lemonroute "));
+  assert(run({"help"}).code == 0);
+  for (const std::vector<string>& bad : {std::vector<string>{}, {"nonsense"}, {"config"}, {"config", "init"},
+                                         {"config", "check"}, {"serve", "--what"}, {"serve", "--log-level", "loud"}})
+    assert(run(bad).code == 2 && !run(bad).err.empty());
+  // What init writes, check takes, even under a name that needs care in quotes.
+  for (const char* name : {"estratti", "a \"b\" \\c"}) {
+    const string path = write_file(run({"config", "init", name}).out);
+    const auto checked = run({"config", "check", path});
+    assert(checked.code == 0 && checked.err.empty());
+    std::vector<config::Fault> faults;
+    assert(config::read_operator(path, faults).application == name && faults.empty());
+  }
+  assert(run({"config", "init", "x", "--output", "tools_test.toml"}).code == 1);  // there already
+}
+
+void faults() {
+  struct Row {
+    const char *text, *line, *key;
+  };
+  const Row rows[] = {
+      {"[log]\nlevel = \"loud\"\n", ":2: ", "log.level: "},
+      {"[log]\n\nlevle = \"info\"\n", ":3: ", "log.levle: "},
+      {"application = 5\n", ":1: ", "application: "},
+      {"\nlog = 1\n", ":2: ", "log: "},
+      {"[grpc]\nlisten = \"here\"\n", ":2: ", "grpc.listen: "},
+      {"[grpc]\nconnections = 0\n", ":2: ", "grpc.connections: "},
+      {"[http]\nlisten = \"127.0.0.1:1\"\n", ":2: ", "http.listen: "},
+      {"[http]\nlisten = [\"127.0.0.1:1\", 7]\n", ":2: ", "http.listen: "},
+      {"[grpc]\nlisten = \"127.0.0.1:1\"\n[agent_check]\nlisten = \"127.0.0.1:1\"\n", ":", "listen: "},
+      {"[nodes]\nprotocol = \"smoke\"\n", ":2: ", "nodes.protocol: "},
+      {"application = \"a\"\n= 3\n", ":2: ", ""},
+      {"[odd]\nx = 1\n", ":1: ", "odd: "},
+  };
+  for (const auto& row : rows) {
+    const string path = write_file(row.text);
+    const auto checked = run({"config", "check", path});
+    assert(checked.code == 1 && checked.out.empty());
+    assert(checked.err.find(path + row.line) == 0 && checked.err.find(row.key) != string::npos);
+  }
+  const auto both = run({"config", "check", write_file("a = 1\nb = 2\n")});
+  assert(both.err.find(":1: a: ") != string::npos && both.err.find(":2: b: ") != string::npos);
+  assert(run({"config", "check", "no/such/file"}).code == 1);
+  assert(run({"serve", "--config", write_file("a = 1\n")}).code == 1);
+}
+
+struct NoNodes : Nodes {
+  std::unique_ptr<Call> begin(const Node&, const Prompt&, Micros, Attempt&) override { return nullptr; }
+  std::unique_ptr<Call> release(const Node&, const string&, std::function<void(bool)>) override { return nullptr; }
+  std::unique_ptr<Call> probe(const Node&, std::function<void(const Result&)>) override { return nullptr; }
+  void hang_up(const Node&) override {}
+};
+
+struct Bed {
+  net::Loop loop;
+  SystemClock clock;
+  NoNodes nodes;
+  Conductor core{[] {
+                   Settings s;
+                   s.kind_role = {Role::read};
+                   return s;
+                 }(),
+                 {"a"}, {"r"}, 1, clock, nodes};
+  ops::Status status{core};
+  Bed() { core.on_change = [this] { status.check(); }; }
+  void list(Phase phase) {
+    core.update(ListKind::full, 1, {{"r", "127.0.0.1:1", "a", "r", 0, phase, 1, Micros(0)}});
+  }
+};
+
+struct Visit : net::Connection::Handler {
+  Visit(net::Loop& loop, std::uint16_t port)
+      : connection(loop, net::Endpoint("127.0.0.1:" + std::to_string(port)), *this) {}
+  void on_readable() override {
+    const auto size = evbuffer_get_length(connection.input());
+    text.append(reinterpret_cast<const char*>(evbuffer_pullup(connection.input(), -1)), size);
+    evbuffer_drain(connection.input(), size);
+  }
+  void on_closed() override { over = true; }
+  string text;
+  bool over = false;
+  net::Connection connection;
+};
+
+void agent_check() {
+  Bed bed;
+  ops::AgentCheck agent(bed.loop, "127.0.0.1:0", bed.status);
+  const auto line = [&] {
+    Visit visit(bed.loop, agent.port());
+    while (!visit.over) bed.loop.run_once();
+    return visit.text;
+  };
+  assert(line() == "ready down #no node is ready\n");
+  bed.list(Phase::ready);
+  assert(line() == "ready up 100%\n");
+  bed.list(Phase::draining);
+  assert(line().find("down") != string::npos);
+  bed.status.drain();
+  assert(line() == "drain\n");
+}
+
+struct HealthCall : grpc::SessionOwner, grpc::StreamEvents {
+  HealthCall(Bed& bed, std::uint16_t port, const string& method, const string& service)
+      : session(new grpc::Session(bed.loop, "127.0.0.1:" + std::to_string(port), *this, {})) {
+    ::grpc::health::v1::HealthCheckRequest request;
+    request.set_service(service);
+    session->request({{":method", "POST"},
+                      {":scheme", "http"},
+                      {":path", "/grpc.health.v1.Health/" + method},
+                      {":authority", "x"},
+                      {"content-type", "application/grpc"}},
+                     grpc::frame(request), *this);
+  }
+  void headers(const grpc::Headers& headers) override { code = grpc::find(headers, "grpc-status"); }
+  void data(std::string_view piece) override {
+    reader.feed(piece, [this](std::string_view bytes) {
+      ::grpc::health::v1::HealthCheckResponse response;
+      assert(response.ParseFromString(string(bytes)));
+      seen += std::to_string(response.status());
+    });
+  }
+  void closed(std::uint32_t, bool) override { over = true; }
+  void closed(grpc::Session&) override {}
+  string seen, code;
+  bool over = false;
+  grpc::MessageReader reader;
+  std::unique_ptr<grpc::Session> session;
+};
+
+void health() {
+  Bed bed;
+  ops::HealthService service(bed.status);
+  grpc::Server server(bed.loop, "127.0.0.1:0", 8);
+  server.add(service);
+  const auto check = [&](const string& method, const string& name) {
+    HealthCall call(bed, server.port(), method, name);
+    while (!call.over) bed.loop.run_once();
+    return call.seen + "/" + call.code;
+  };
+  assert(check("Check", "") == "2/0");
+  bed.list(Phase::ready);
+  assert(check("Check", "") == "1/0" && check("Check", "lemonroute.v1.Drafting") == "1/0");
+  assert(check("Check", "other") == "/5" && check("Chekc", "") == "/12");
+
+  HealthCall watch(bed, server.port(), "Watch", ""), unknown(bed, server.port(), "Watch", "other");
+  const auto until = [&](const string& seen) {
+    while (watch.seen != seen) bed.loop.run_once();
+  };
+  until("1");
+  bed.list(Phase::draining);
+  until("12");
+  bed.list(Phase::ready);
+  until("121");
+  bed.status.drain();
+  while (!watch.over || !unknown.over) bed.loop.run_once();
+  assert(watch.seen == "1212" && watch.code == "14" && unknown.seen == "3");
+}
+
+}  // namespace
+
+int main() {
+  command_line();
+  faults();
+  agent_check();
+  health();
+  std::remove("tools_test.toml");
+  std::cout << "tools: all checks passed\n";
+}
