--- a/src/core/conductor.cpp
+++ b/src/core/conductor.cpp
@@ -34,6 +34,15 @@
   return "?";
 }
 
+const char* word(Phase phase) {
+  switch (phase) {
+    case Phase::ready: return "ready";
+    case Phase::draining: return "leaving";
+    case Phase::gone: return "gone";
+  }
+  return "?";
+}
+
 }  // namespace
 
 // One attempt of a request, on its way.
@@ -106,6 +115,8 @@
     node.entry = {id,        index(zones_, item.zone), index(kinds_, item.kind), item.cell, item.phase,
                   item.weight, item.started};
     list.hosts.push_back(node.entry);
+    // The module's own lines name nodes by these numbers.
+    logging::info() << "node " << item.name << " is host " << id << ", " << word(item.phase);
   }
   logging::info() << "list " << version << (kind == ListKind::delta ? ": changes for " : ": whole, ")
                   << listed.size() << " nodes, " << ready_nodes() << " ready";
--- a/tests/net/tools_test.cpp
+++ b/tests/net/tools_test.cpp
@@ -12,9 +12,9 @@
 #include "ops/health_service.h"
 #include "proto/health.pb.h"
 
+namespace lemonroute {
 namespace {
 
-using namespace lemonroute;
 using std::string;
 
 struct Ran {
@@ -193,8 +193,10 @@
 }
 
 }  // namespace
+}  // namespace lemonroute
 
 int main() {
+  using namespace lemonroute;
   command_line();
   faults();
   agent_check();
