Test that the program starts from the platform's file and ends with 0 on SIGTERM

A hand check of SIGTERM had ended in a segmentation fault. The cause was a build, not the code: headers had changed while objects were being compiled, and two files disagreed on the size of http::Client (the fault lay in the destructor of discovery::Watch). Faults of a configuration are told in the order of their lines.

--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -1,5 +1,6 @@
 #include "cli/commands.h"
 
+#include <algorithm>
 #include <boost/program_options.hpp>
 #include <cstdlib>
 #include <filesystem>
@@ -38,7 +39,8 @@
   return values.count(key) ? values[key].as<std::string>() : "";
 }
 
-int report(const std::vector<config::Fault>& faults, std::ostream& err) {
+int report(std::vector<config::Fault> faults, std::ostream& err) {
+  std::stable_sort(faults.begin(), faults.end(), [](auto& a, auto& b) { return a.line < b.line; });
   for (const auto& fault : faults) err << fault.text() << '\n';
   return faults.empty() ? fine : faulty;
 }
--- a/src/config/platform.cpp
+++ b/src/config/platform.cpp
@@ -98,8 +98,9 @@
   const char* path = variable("BALANCER_CONFIG");
   if (!path) throw ConfigError("BALANCER_CONFIG is not set");
   std::ifstream file(path);
+  if (!file) throw ConfigError(std::string(path) + ": cannot be read");
   std::ostringstream text;
-  if (!file || !(text << file.rdbuf())) throw ConfigError(std::string(path) + ": cannot be read");
+  text << file.rdbuf();  // an empty file is left to the parser to refuse
   Platform platform;
   try {
     platform = parse_platform(text.str());
--- a/tests/net/tools_test.cpp
+++ b/tests/net/tools_test.cpp
@@ -1,6 +1,10 @@
 // What operators touch: the command line, agent-check and grpc.health.v1.
 #undef NDEBUG
+#include <sys/wait.h>
+#include <unistd.h>
+
 #include <cassert>
+#include <csignal>
 #include <cstdio>
 #include <fstream>
 #include <iostream>
@@ -80,6 +84,35 @@
   assert(run({"serve", "--config", write_file("a = 1\n")}).code == 1);
 }
 
+// The program itself: it starts from the platform's file and ends with 0 on SIGTERM.
+void start_and_end() {
+  const string path = write_file(R"({"name":"n1","listen":"127.0.0.1:0","discovery":"127.0.0.1:1",
+    "known":{"generation":1,"reset":true,"instances":[]},
+    "settings":{"zones":["a"],"kinds":["r"],"siblings":1,"extra":{"kind-role":["read"],"release-us":1000000},
+      "lanes":[{"name":"k","idempotency":"read_like","slo-us":1500000}],
+      "limits":{"max-attempts":6,"conn-idle-us":15000000,"connect-timeout-us":250000},
+      "safety":{"cold-us":1,"cold-from":1,"fall-multiple":1,"fall-us":1}}})");
+  int ends[2];
+  assert(pipe(ends) == 0);
+  const pid_t child = fork();
+  if (child == 0) {
+    dup2(ends[1], STDERR_FILENO);
+    setenv("BALANCER_CONFIG", path.c_str(), 1);
+    std::_Exit(cli::run({"serve"}, std::cout, std::cerr));
+  }
+  close(ends[1]);
+  string log;
+  char c = 0;
+  while (log.find("serves on") == string::npos && read(ends[0], &c, 1) == 1) log += c;
+  assert(log.find("serves on") != string::npos);
+  kill(child, SIGTERM);
+  while (read(ends[0], &c, 1) == 1) log += c;
+  int status = 0;
+  assert(waitpid(child, &status, 0) == child && WIFEXITED(status) && WEXITSTATUS(status) == 0);
+  assert(log.find("drained, ending") != string::npos);
+  close(ends[0]);
+}
+
 struct NoNodes : Nodes {
   std::unique_ptr<Call> begin(const Node&, const Prompt&, Micros, Attempt&) override { return nullptr; }
   std::unique_ptr<Call> release(const Node&, const string&, std::function<void(bool)>) override { return nullptr; }
@@ -199,6 +232,7 @@
   using namespace lemonroute;
   command_line();
   faults();
+  start_and_end();
   agent_check();
   health();
   std::remove("tools_test.toml");
