--- a/src/core/types.h
+++ b/src/core/types.h
@@ -53,7 +53,6 @@
 enum class Failure {
   timed_out,   // nothing came before the client's deadline
   gave_up,     // the module ended the request
-  overloaded,  // too many requests are open here
 };
 
 // A key as a number: hexadecimal digits as they are, any other text by its hash. 0 = none.
