Dismiss silent and resting clients when places run short; follow discovery on SIGHUP

Ruled out: CPU (0.04 s a second), memory (2 MB), nodes (no full answers).

Now net::Admission closes resting, then silent connections when places run short, on both wires; a request has 2 s to come whole; SIGHUP moves the watch; what a node calls unusable fails at once and is held against no node.

--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -3,6 +3,7 @@
 #include <sys/resource.h>
 
 #include <csignal>
+#include <cstdlib>
 
 #include "base/log.h"
 #include "discovery/watch.h"
@@ -48,7 +49,8 @@
         window_(loop_, [this] { stop_accepting(); }),
         ended_(loop_, [this] { poll_end(); }),
         term_(loop_, SIGTERM, [this] { drain("SIGTERM"); }),
-        interrupt_(loop_, SIGINT, [this] { drain("SIGINT"); }) {
+        interrupt_(loop_, SIGINT, [this] { drain("SIGINT"); }),
+        hang_up_(loop_, SIGHUP, [this] { reload(); }) {
     if (!settings.grpc_listen.empty()) {
       grpc_ = std::make_unique<Grpc>(*this, settings);
       logging::info() << "gRPC on " << settings.grpc_listen;
@@ -95,6 +97,17 @@
     status_.drain();
     window_.start(arrival_window);
   }
+  // Takes the discovery address of the replaced file; the rest of it holds from the next start on. With a
+  // file that can't be read the program goes on as it was: a slip there must not end what serves.
+  void reload() {
+    try {
+      const auto platform = config::reload_platform(std::getenv);
+      logging::info() << "SIGHUP: discovery at " << platform.discovery;
+      watch_.move(platform.discovery);
+    } catch (const config::ConfigError& error) {
+      logging::error() << "SIGHUP: the configuration stays as it was: " << error.what();
+    }
+  }
   void stop_accepting() {
     front_.stop_accepting();
     if (grpc_) grpc_->server.stop_accepting();
@@ -117,7 +130,7 @@
   http::Front front_;
   discovery::Watch watch_;
   net::Timer due_, window_, ended_;
-  net::Signal term_, interrupt_;
+  net::Signal term_, interrupt_, hang_up_;
   std::unique_ptr<Grpc> grpc_;
   std::unique_ptr<ops::AgentCheck> agent_;
   bool draining_ = false;
--- a/src/config/platform.cpp
+++ b/src/config/platform.cpp
@@ -94,29 +94,46 @@
   }
 }
 
-Platform load_platform(const std::function<const char*(const char*)>& variable) {
+namespace {
+
+Platform read_platform(const std::function<const char*(const char*)>& variable) {
   const char* path = variable("BALANCER_CONFIG");
   if (!path) throw ConfigError("BALANCER_CONFIG is not set");
   std::ifstream file(path);
   if (!file) throw ConfigError(std::string(path) + ": cannot be read");
   std::ostringstream text;
   text << file.rdbuf();  // an empty file is left to the parser to refuse
-  Platform platform;
   try {
-    platform = parse_platform(text.str());
+    return parse_platform(text.str());
   } catch (const ConfigError& error) {
     throw ConfigError(std::string(path) + ": " + error.what());
   }
+}
+
+void check_address(const char* name, const std::string& address) {
+  try {
+    net::Endpoint{address};
+  } catch (const std::invalid_argument& error) {
+    throw ConfigError(std::string(name) + ": " + error.what());
+  }
+}
+
+}  // namespace
+
+Platform load_platform(const std::function<const char*(const char*)>& variable) {
+  Platform platform = read_platform(variable);
   for (auto [name, field] : {std::pair{"BALANCER_NAME", &platform.name},
                              std::pair{"BALANCER_LISTEN", &platform.listen},
                              std::pair{"BALANCER_DISCOVERY", &platform.discovery}})
     if (const char* value = variable(name)) *field = value;
-  for (auto [name, field] : {std::pair{"listen", &platform.listen}, std::pair{"discovery", &platform.discovery}})
-    try {
-      net::Endpoint{*field};
-    } catch (const std::invalid_argument& error) {
-      throw ConfigError(std::string(name) + ": " + error.what());
-    }
+  check_address("listen", platform.listen);
+  check_address("discovery", platform.discovery);
+  return platform;
+}
+
+Platform reload_platform(const std::function<const char*(const char*)>& variable) {
+  Platform platform = read_platform(variable);
+  check_address("discovery", platform.discovery);
   return platform;
 }
 
--- a/src/config/platform.h
+++ b/src/config/platform.h
@@ -30,5 +30,7 @@
 Platform parse_platform(const std::string& text);  // throws ConfigError
 // Reads the file that BALANCER_CONFIG names; the other BALANCER_* variables win over it.
 Platform load_platform(const std::function<const char*(const char*)>& variable);
+// The same file once it has been replaced: now what it says holds, over the variables of the start.
+Platform reload_platform(const std::function<const char*(const char*)>& variable);
 
 }  // namespace lemonroute::config
--- a/src/core/conductor.cpp
+++ b/src/core/conductor.cpp
@@ -346,10 +346,15 @@
 void Conductor::done(Try& attempt, Result result) {
   Entry& entry = *find(attempt.request);
   timers_.drop(attempt.timer);
+  // Guards the nodes' good name, and the others' time: what one node can't use no node can. The fault is the
+  // client's, who is told at once.
+  if (result.unfit) result.outcome = Outcome::moot;
   const std::unique_ptr<Try> ended = std::move(entry.out);
   const auto node = known_.find(attempt.host);
   logging::debug() << entry.prompt.id << " attempt " << attempt.number << " at " << node->second.name << ": "
                    << word(result.outcome) << (result.detail.empty() ? "" : ", ") << result.detail;
+  if (result.unfit)
+    logging::info() << "node " << node->second.name << " can't use " << entry.prompt.id << ", " << result.detail;
   if (result.outcome == Outcome::error || result.outcome == Outcome::reset)
     logging::info() << "node " << node->second.name << ": attempt " << word(result.outcome) << ", "
                     << result.detail;
@@ -359,12 +364,13 @@
   else if (!never_ran && role(attempt.host) != Role::write && !attempt.started)
     entry.leftover = attempt.host;
   Client* client = entry.client;
-  const bool finished = !client || result.outcome == Outcome::ok || attempt.started;
+  const bool finished = !client || result.outcome == Outcome::ok || attempt.started || result.unfit;
   if (client && finished) end(entry);
   Completed completed{attempt.request, result.outcome, finished, clock_.now() - attempt.sent, attempt.host,
                       result.kept,     attempt.number, parse_load(result.load, settings_.report_columns)};
   ended->call.reset();
   if (client && result.outcome == Outcome::ok) client->finish();
+  else if (client && result.unfit) client->fail(Failure::unfit);
   else if (client && finished) client->cut();
   put(std::move(completed));
 }
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -53,6 +53,7 @@
 enum class Failure {
   timed_out,   // nothing came before the client's deadline
   gave_up,     // the module ended the request
+  unfit,       // a node can't use the request as the client put it
 };
 
 // A key as a number: hexadecimal digits as they are, any other text by its hash. 0 = none.
@@ -86,6 +87,7 @@
   std::uint32_t kept = 0;  // prompt tokens found kept; for Outcome::full, 1 = there was no state
   std::string load;        // the report that came along, "name=value,..."
   std::string detail;      // for the log
+  bool unfit = false;      // the node can't use the request as it is: it has not run, and would not elsewhere
 };
 
 class Attempt {
--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -26,6 +26,15 @@
         failed("no answer");
       }) {}
 
+// What the old address knew may be numbered otherwise at the new one, so nothing of it is built on.
+void Watch::move(std::string address) {
+  client_.hang_up(address_);
+  address_ = std::move(address);
+  has_list_ = false;
+  again_.stop();
+  ask();
+}
+
 void Watch::ask() {
   text_.clear();
   status_ = 0;
--- a/src/discovery/watch.h
+++ b/src/discovery/watch.h
@@ -10,6 +10,7 @@
  public:
   Watch(net::Loop& loop, std::string address, Conductor& conductor);
   void start() { ask(); }
+  void move(std::string address);  // asks there from now on, for the whole list first
 
  private:
   void ask();
--- a/src/grpc/front.cpp
+++ b/src/grpc/front.cpp
@@ -70,6 +70,7 @@
   }
   void fail(Failure why) override {
     if (why == Failure::timed_out) end(Status::deadline_exceeded, "no answer in time");
+    else if (why == Failure::unfit) end(Status::invalid_argument, "no node can use the request");
     else end(Status::internal, "the nodes failed");
   }
   void cut() override { end(Status::aborted, "the stream broke"); }
--- a/src/grpc/node_client.cpp
+++ b/src/grpc/node_client.cpp
@@ -117,6 +117,7 @@
       result_.kept = 1;
     } else {
       result_.outcome = Outcome::error;
+      result_.unfit = status == Status::invalid_argument;
     }
     attempt_.done(result_);
   }
--- a/src/grpc/server.cpp
+++ b/src/grpc/server.cpp
@@ -46,17 +46,21 @@
 }
 
 Server::Server(net::Loop& loop, const std::string& listen, std::size_t most_connections)
-    : loop_(loop), most_connections_(most_connections) {
+    : loop_(loop), admission_(loop, most_connections, [this](bool on) {
+        if (listener_) listener_->pause(on);
+      }) {
   listener_ = std::make_unique<net::Listener>(loop, listen, [this](evutil_socket_t fd) {
-    std::unique_ptr<Session> session(new Session(loop_, fd, *this, Session::Limits{}));
-    sessions_[session.get()] = std::move(session);
-    if (sessions_.size() >= most_connections_) listener_->pause(true);
+    auto visit = std::make_unique<Visit>();
+    Visit& made = *visit;
+    made.session.reset(new Session(loop_, fd, *this, Session::Limits{}));
+    visits_[made.session.get()] = std::move(visit);
+    admission_.arrived(made);
   });
 }
 
 Server::~Server() {
   calls_.clear();  // methods go while what they answer through is still there
-  sessions_.clear();
+  visits_.clear();
 }
 
 StreamEvents* Server::opened(Session& session, std::int32_t id, const Headers& headers) {
@@ -67,9 +71,14 @@
   }
   auto call = std::make_unique<ServerCall>(session, id);
   ServerCall& made = *call;
-  made.on_over_ = [this, &made] {
+  Visit& visit = *visits_.at(&session);
+  if (visit.calls++ == 0) admission_.busy(visit);
+  made.on_over_ = [this, &made, &session] {
     const auto found = calls_.find(&made);
     if (found == calls_.end()) return;
+    // The connection may be gone already, and its calls be told of that.
+    if (const auto of = visits_.find(&session); of != visits_.end() && --of->second->calls == 0)
+      admission_.at_rest(*of->second);
     loop_.dispose(std::move(found->second));
     calls_.erase(found);
   };
@@ -84,16 +93,16 @@
 }
 
 void Server::closed(Session& session) {
-  const auto found = sessions_.find(&session);
-  if (found == sessions_.end()) return;
+  const auto found = visits_.find(&session);
+  if (found == visits_.end()) return;
+  admission_.left(*found->second);
   loop_.dispose(std::move(found->second));
-  sessions_.erase(found);
-  if (listener_ && sessions_.size() + 1 == most_connections_) listener_->pause(false);
+  visits_.erase(found);
 }
 
 void Server::stop_accepting() {
   listener_.reset();
-  for (const auto& [session, owned] : sessions_) session->go_away();
+  for (const auto& [session, visit] : visits_) session->go_away();
 }
 
 }  // namespace lemonroute::grpc
--- a/src/grpc/server.h
+++ b/src/grpc/server.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "grpc/session.h"
+#include "net/admission.h"
 
 namespace lemonroute::grpc {
 
@@ -57,17 +58,24 @@
   void add(Service& service) { services_.push_back(&service); }
   std::uint16_t port() const { return listener_->port(); }
   void stop_accepting();  // calls that are open go on
-  bool idle() const { return sessions_.empty(); }
+  bool idle() const { return visits_.empty(); }
 
  private:
   StreamEvents* opened(Session& session, std::int32_t id, const Headers& headers) override;
   void closed(Session& session) override;
 
+  // A connection and how many of its calls are open.
+  struct Visit : net::Admission::Guest {
+    void dismiss() override { session->close(); }
+    std::unique_ptr<Session> session;
+    std::size_t calls = 0;
+  };
+
   net::Loop& loop_;
-  std::size_t most_connections_;
+  net::Admission admission_;
   std::vector<Service*> services_;
   std::map<ServerCall*, std::unique_ptr<ServerCall>> calls_;
-  std::map<Session*, std::unique_ptr<Session>> sessions_;
+  std::map<Session*, std::unique_ptr<Visit>> visits_;
   std::unique_ptr<net::Listener> listener_;
 };
 
--- a/src/grpc/session.cpp
+++ b/src/grpc/session.cpp
@@ -35,6 +35,7 @@
       connect_timer_(loop, [this] { close(); }),
       ping_timer_(loop, [this] { close(); }),
       connection_(new net::Connection(loop, accepted, *this)) {
+  connect_timer_.start(limits.greeting_timeout);  // guards against peers that connect and say nothing
   start(true);
 }
 
@@ -325,6 +326,7 @@
 
 void Session::frame_received(const nghttp2_frame& frame) {
   const std::int32_t id = frame.hd.stream_id;
+  connect_timer_.stop();
   if (frame.hd.type == NGHTTP2_GOAWAY) going_ = true;
   if (frame.hd.type == NGHTTP2_PING && (frame.hd.flags & NGHTTP2_FLAG_ACK)) ping_timer_.stop();
   Stream* stream = this->stream(id);
--- a/src/grpc/session.h
+++ b/src/grpc/session.h
@@ -41,6 +41,7 @@
  public:
   struct Limits {
     std::chrono::microseconds connect_timeout{std::chrono::milliseconds(250)};
+    std::chrono::microseconds greeting_timeout{std::chrono::seconds(2)};  // for a client's first frame
     std::chrono::microseconds ping_timeout{std::chrono::seconds(1)};
     std::uint32_t streams = 128;
   };
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -28,6 +28,7 @@
     case 400: return "Bad Request";
     case 404: return "Not Found";
     case 405: return "Method Not Allowed";
+    case 408: return "Request Timeout";
     case 413: return "Content Too Large";
     case 429: return "Too Many Requests";
     case 431: return "Request Header Fields Too Large";
@@ -40,12 +41,12 @@
 
 }  // namespace
 
-class ClientConnection : net::Connection::Handler, public lemonroute::Client {
+class ClientConnection : net::Connection::Handler, public net::Admission::Guest, public lemonroute::Client {
  public:
   ClientConnection(Front& front, evutil_socket_t fd)
       : front_(front), timer_(front.loop_, [this] { on_timer(); }), connection_(front.loop_, fd, *this) {
     connection_.limit_input(most_input);
-    timer_.start(front_.options_.idle);
+    timer_.start(front_.options_.asking);
   }
   ~ClientConnection() override {
     if (state_ == State::waiting || state_ == State::streaming) front_.conductor_.gone(id_);
@@ -53,6 +54,7 @@
   bool between_requests() {
     return state_ == State::head && evbuffer_get_length(connection_.input()) == 0;
   }
+  void dismiss() override { close(); }
   void close() {
     const State was = std::exchange(state_, State::closed);
     if (was == State::waiting || was == State::streaming) front_.conductor_.gone(id_);
@@ -72,12 +74,10 @@
   void read_head() {
     HeadScan scan = scan_head(connection_.input(), Kind::request, scanned_);
     if (scan.state == Scan::more) {
-      if (!in_request_ && evbuffer_get_length(connection_.input()) > 0) {
-        in_request_ = true;
-        timer_.start(front_.options_.sending);
-      }
+      if (evbuffer_get_length(connection_.input()) > 0) begin_request();
       return;
     }
+    begin_request();
     if (scan.state == Scan::fault) return answer_and_close(static_cast<int>(scan.fault));
     keep_ = !scan.head.closes();
     Fault fault = Fault::none;
@@ -90,7 +90,14 @@
     evbuffer_drain(connection_.input(), scan.length);
     text_ = std::make_shared<std::string>();
     state_ = State::body;
-    timer_.start(front_.options_.sending);
+  }
+
+  // Guards the places of the front: a peer that says nothing, or sends its request by drops, has as long for
+  // all of it, so the time of the first request runs from connecting on and is never started anew.
+  void begin_request() {
+    if (std::exchange(in_request_, true) || !asked_) return;
+    timer_.start(front_.options_.asking);
+    front_.admission_.busy(*this);
   }
 
   // The status of a request that is answered here, 0 for one that goes to the core.
@@ -144,6 +151,8 @@
     if (state == Body::State::more) return;
     timer_.stop();
     in_request_ = false;
+    asked_ = true;
+    front_.admission_.busy(*this);
     if (status_ != 0) return answer(status_);
     inquiry_.prompt.body = std::move(text_);
     if (inquiry_.prompt_tokens == 0)
@@ -165,6 +174,7 @@
   }
   void on_timer() {
     if (state_ == State::streaming) logging::info() << "a client takes nothing, " << inquiry_.prompt.id;
+    if (in_request_ && (state_ == State::head || state_ == State::body)) return answer_and_close(408);
     close();
   }
 
@@ -201,7 +211,9 @@
       field << "Retry-After: " << std::chrono::duration<double>(stay_away).count() << "\r\n";
     answer(429, field.str());
   }
-  void fail(Failure why) override { answer(why == Failure::timed_out ? 504 : 502); }
+  void fail(Failure why) override {
+    answer(why == Failure::timed_out ? 504 : why == Failure::unfit ? 400 : 502);
+  }
   void cut() override {
     // No last chunk: the client must see that the stream is not whole, and see it now.
     state_ = State::ending;
@@ -238,6 +250,7 @@
     }
     state_ = State::head;
     timer_.start(front_.options_.idle);
+    front_.admission_.at_rest(*this);
     if (evbuffer_get_length(connection_.input()) > 0) connection_.poke();
   }
 
@@ -255,7 +268,7 @@
   RequestId id_ = 0;
   Inquiry inquiry_;
   int status_ = 0;
-  bool keep_ = true, closes_ = false, in_request_ = false, held_back_ = false, cut_ = false;
+  bool keep_ = true, closes_ = false, in_request_ = false, asked_ = false, held_back_ = false, cut_ = false;
   std::size_t scanned_ = 0;
   Body body_;
   std::shared_ptr<std::string> text_;
@@ -264,7 +277,10 @@
 };
 
 Front::Front(net::Loop& loop, Conductor& conductor, Options options)
-    : loop_(loop), conductor_(conductor), options_(std::move(options)) {
+    : loop_(loop),
+      conductor_(conductor),
+      options_(std::move(options)),
+      admission_(loop, options_.most_connections, [this](bool on) { pause(on); }) {
   for (const auto& address : options_.listen)
     listeners_.push_back(
         std::make_unique<net::Listener>(loop, address, [this](evutil_socket_t fd) { accept(fd); }));
@@ -273,8 +289,9 @@
 
 void Front::accept(evutil_socket_t fd) {
   auto connection = std::make_unique<ClientConnection>(*this, fd);
-  connections_[connection.get()] = std::move(connection);
-  if (connections_.size() >= options_.most_connections) pause(true);
+  ClientConnection& made = *connection;
+  connections_[&made] = std::move(connection);
+  admission_.arrived(made);
 }
 
 void Front::discard(ClientConnection& connection) {
@@ -282,7 +299,7 @@
   if (found == connections_.end()) return;
   loop_.dispose(std::move(found->second));
   connections_.erase(found);
-  if (connections_.size() + 1 == options_.most_connections) pause(false);
+  admission_.left(connection);
 }
 
 void Front::pause(bool on) {
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "core/conductor.h"
+#include "net/admission.h"
 #include "net/connection.h"
 
 namespace lemonroute::http {
@@ -18,8 +19,9 @@
   struct Options {
     std::vector<std::string> listen;
     std::size_t most_connections = 400;
-    Micros idle{std::chrono::seconds(75)};    // between requests
-    Micros sending{std::chrono::seconds(10)};  // for a request to come whole, or an answer to be taken
+    Micros idle{std::chrono::seconds(75)};       // between requests
+    Micros asking{std::chrono::seconds(2)};      // for a request to come whole, the first from connecting on
+    Micros sending{std::chrono::seconds(10)};    // for an answer to be taken
   };
   Front(net::Loop& loop, Conductor& conductor, Options options);
   ~Front();
@@ -39,6 +41,7 @@
   Conductor& conductor_;
   Options options_;
   bool draining_ = false;
+  net::Admission admission_;
   std::map<ClientConnection*, std::unique_ptr<ClientConnection>> connections_;
   std::vector<std::unique_ptr<net::Listener>> listeners_;
 };
--- a/src/http/node_client.cpp
+++ b/src/http/node_client.cpp
@@ -32,6 +32,11 @@
   return kept != at->end() && kept->is_number_unsigned() ? kept->get<std::uint32_t>() : 0;
 }
 
+// Whether a status says that the request itself is at fault, and not the node or the moment.
+bool blames_request(int status) {
+  return status >= 400 && status < 500 && status != 408 && status != 410 && status != 425 && status != 429;
+}
+
 class AttemptCall : public Call, Listener {
  public:
   AttemptCall(Client& client, const Node& node, const Prompt& prompt, Micros within, Attempt& attempt)
@@ -65,6 +70,7 @@
       result_.kept = status_ == 410 ? 1 : 0;
     } else {
       result_.outcome = Outcome::error;
+      result_.unfit = blames_request(status_);
     }
     result_.detail = "status " + std::to_string(status_);
   }
--- /dev/null
+++ b/src/net/admission.cpp
@@ -0,0 +1,62 @@
+#include "net/admission.h"
+
+#include <utility>
+
+namespace lemonroute::net {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// A client between requests may be about to ask again; the platform lets its connection go after this time.
+constexpr Micros rest_at_least = seconds(2);
+// Whoever connects in order to ask has asked by then.
+constexpr Micros prove_within = milliseconds(500);
+constexpr Micros look_again = milliseconds(50);
+
+}  // namespace
+
+Admission::Admission(Loop& loop, std::size_t most, std::function<void(bool)> pause)
+    : most_(most), pause_(std::move(pause)), again_(loop, [this] { make_room(); }) {}
+
+void Admission::arrived(Guest& guest) {
+  ++present_;
+  move(guest, &unproven_);
+  make_room();
+}
+void Admission::busy(Guest& guest) { move(guest, nullptr); }
+void Admission::at_rest(Guest& guest) { move(guest, &resting_); }
+
+void Admission::left(Guest& guest) {
+  move(guest, nullptr);
+  --present_;
+  if (present_ >= most_ || !std::exchange(paused_, false)) return;
+  again_.stop();
+  pause_(false);
+}
+
+void Admission::move(Guest& guest, std::list<Guest*>* to) {
+  if (guest.in) guest.in->erase(guest.at);
+  guest.in = to;
+  if (!to) return;
+  guest.at = to->insert(to->end(), &guest);
+  guest.since = std::chrono::steady_clock::now();
+}
+
+// One place is kept free for whoever comes next. Resting peers are asked to leave first, since they lose the
+// least by it. With nobody to dismiss, newcomers wait in the kernel's queue.
+void Admission::make_room() {
+  while (present_ >= most_)
+    if (!dismiss_first(resting_, rest_at_least) && !dismiss_first(unproven_, prove_within)) break;
+  if (present_ < most_) return;
+  if (!std::exchange(paused_, true)) pause_(true);
+  again_.start(look_again);
+}
+
+bool Admission::dismiss_first(std::list<Guest*>& of, Micros after) {
+  if (of.empty() || std::chrono::steady_clock::now() - of.front()->since < after) return false;
+  of.front()->dismiss();
+  return true;
+}
+
+}  // namespace lemonroute::net
--- a/tests/net/scenario.cpp
+++ b/tests/net/scenario.cpp
@@ -7,11 +7,13 @@
 //   c1 send request q1 2s          a client asks, with the deadline given
 //   r1 expect run q1               the next thing that the peer sees, word for word
 //   r1 send read 64                the prompt has been read
-//   w1 send event hello            then: send end, declined, lost, error, junk
+//   w1 send event hello            then: send end, declined, lost, error, unfit, junk
 //   c1 expect event hello          likewise: end, refused 500ms, failed timed_out, cut, rejected
 //   c1 close                       the client goes; a node breaks the attempt off
 //   r* expect run q1               whichever of r.. it is
 //   r1 expect nothing              all is quiet
+//   c1 send nothing                connects and stays silent
+//   front limit 2                  the fronts have so many places
 //   core wait 2s                   moves the core's clock on
 //   list send leaving r1           tells the core of a change; with peer d, discovery itself answers in raw
 //   c1 send raw TEXT               bytes as they are: \r \n, and $r1 is a node's address; {N} repeats
@@ -65,6 +67,7 @@
   HttpClient(net::Loop& loop, string address) : loop_(loop), address_(std::move(address)) {}
   void send(const Words& words) override {
     if (!connection_) connection_.reset(new net::Connection(loop_, net::Endpoint(address_), *this));
+    if (words[0] == "nothing") return;
     if (words[0] == "raw") return connection_->write(string_view_of(words[1]));
     const string body = "{\"messages\":[]}";
     connection_->write("POST /v1/chat/completions HTTP/1.1\r\nReq-Id: " + words[1] + "\r\nReq-Kind: " +
@@ -201,6 +204,7 @@
     if (what == "declined") return whole("503 Service Unavailable", "Srv-Declined: 1\r\n", "");
     if (what == "lost") return whole("410 Gone", "Srv-Declined: 1\r\n", "");
     if (what == "error") return whole("500 Internal Server Error", "", "");
+    if (what == "unfit") return whole("400 Bad Request", "", "");
     if (what == "junk") return raw_send("no HTTP at all\r\n\r\n");
     if (what == "event") return chunk("data: " + join(words, 1) + "\n\n");
     assert(what == "end");
@@ -288,6 +292,7 @@
     if (what == "read" || what == "end") over(grpc::Status::ok, {});
     if (what == "declined") over(grpc::Status::unavailable, {{"srv-declined", "1"}});
     if (what == "lost") over(grpc::Status::failed_precondition, {{"srv-declined", "1"}});
+    if (what == "unfit") over(grpc::Status::invalid_argument, {});
     if (what == "error" || what == "junk") over(grpc::Status::internal, {});
   }
 
@@ -352,9 +357,12 @@
     if (grpc_nodes) nodes_ = std::make_unique<grpc::NodeClient>(loop_, grpc::Session::Limits{});
     else nodes_ = std::make_unique<http::NodeClient>(loop_, http::ClientLimits{});
     core_ = std::make_unique<Conductor>(settings(), Words{"a"}, Words{"lettura", "scrittura"}, 1, clock_, *nodes_);
-    front_ = std::make_unique<http::Front>(loop_, *core_, http::Front::Options{{"127.0.0.1:0"}});
     grpc_front_ = std::make_unique<grpc::Front>(*core_);
-    grpc_server_ = std::make_unique<grpc::Server>(loop_, "127.0.0.1:0", 8);
+    serve(8);
+  }
+  void serve(std::size_t places) {
+    front_ = std::make_unique<http::Front>(loop_, *core_, http::Front::Options{{"127.0.0.1:0"}, places});
+    grpc_server_ = std::make_unique<grpc::Server>(loop_, "127.0.0.1:0", places);
     grpc_server_->add(*grpc_front_);
   }
 
@@ -368,6 +376,7 @@
     const Words rest(words.begin() + 2, words.end());
     if (verb == "wait") return wait(rest.at(0));
     if (words[0] == "list") return change(rest);
+    if (words[0] == "front" && verb == "limit") return serve(std::stoul(rest.at(0)));
     if (words[0] == "front") return drain(verb);
     if (verb == "expect") return expect(words[0], text, rest);
     Peer& to = peer(words[0], true);
--- a/tests/net/tools_test.cpp
+++ b/tests/net/tools_test.cpp
@@ -1,5 +1,7 @@
 // What operators touch: the command line, agent-check and grpc.health.v1.
 #undef NDEBUG
+#include <netinet/in.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -84,27 +86,75 @@
   assert(run({"serve", "--config", write_file("a = 1\n")}).code == 1);
 }
 
-// The program itself: it starts from the platform's file and ends with 0 on SIGTERM.
-void start_and_end() {
-  const string path = write_file(R"({"name":"n1","listen":"127.0.0.1:0","discovery":"127.0.0.1:1",
+string platform_file(const string& discovery) {
+  return write_file(R"({"name":"n1","listen":"127.0.0.1:0","discovery":")" + discovery + R"(",
     "known":{"generation":1,"reset":true,"instances":[]},
     "settings":{"zones":["a"],"kinds":["r"],"siblings":1,"extra":{"kind-role":["read"],"release-us":1000000},
       "lanes":[{"name":"k","idempotency":"read_like","slo-us":1500000}],
       "limits":{"max-attempts":6,"conn-idle-us":15000000,"connect-timeout-us":250000},
       "safety":{"cold-us":1,"cold-from":1,"fall-multiple":1,"fall-us":1}}})");
+}
+
+// A socket that takes connections, and its address.
+struct Door {
+  Door() {
+    listen(fd, 8);
+    sockaddr_in at{};
+    socklen_t size = sizeof at;
+    getsockname(fd, reinterpret_cast<sockaddr*>(&at), &size);
+    address = "127.0.0.1:" + std::to_string(ntohs(at.sin_port));
+  }
+  ~Door() { close(fd); }
+  static int bound() {
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in at{};
+    at.sin_family = AF_INET;
+    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    assert(bind(fd, reinterpret_cast<sockaddr*>(&at), sizeof at) == 0);
+    return fd;
+  }
+  string first_line() {
+    const int visitor = accept(fd, nullptr, nullptr);
+    string line;
+    char c = 0;
+    while (read(visitor, &c, 1) == 1 && c != '\r') line += c;
+    close(visitor);
+    return line;
+  }
+  int fd = bound();
+  string address;
+};
+
+// The program itself: it starts from the platform's file, follows discovery to where the replaced file says on
+// SIGHUP, outlives a file that is no good, and ends with 0 on SIGTERM.
+void start_and_end() {
+  Door old_door, new_door;
+  const string path = platform_file("127.0.0.1:1");
   int ends[2];
   assert(pipe(ends) == 0);
   const pid_t child = fork();
   if (child == 0) {
     dup2(ends[1], STDERR_FILENO);
     setenv("BALANCER_CONFIG", path.c_str(), 1);
+    setenv("BALANCER_DISCOVERY", old_door.address.c_str(), 1);
     std::_Exit(cli::run({"serve"}, std::cout, std::cerr));
   }
   close(ends[1]);
   string log;
   char c = 0;
-  while (log.find("serves on") == string::npos && read(ends[0], &c, 1) == 1) log += c;
-  assert(log.find("serves on") != string::npos);
+  const auto logged = [&](const char* text) {
+    while (log.find(text) == string::npos && read(ends[0], &c, 1) == 1) log += c;
+    return log.find(text) != string::npos;
+  };
+  assert(logged("serves on"));
+  assert(old_door.first_line() == "GET /v1/servers HTTP/1.1");
+  platform_file(new_door.address);
+  kill(child, SIGHUP);
+  assert(new_door.first_line() == "GET /v1/servers HTTP/1.1");
+  write_file("{");
+  kill(child, SIGHUP);
+  assert(logged("the configuration stays as it was: tools_test.toml: "));
+  assert(new_door.first_line() == "GET /v1/servers HTTP/1.1");
   kill(child, SIGTERM);
   while (read(ends[0], &c, 1) == 1) log += c;
   int status = 0;
