End connections with their answers when places run short; see spoilt answers at once

Ruled out: CPU (0.2 s in the worst second), descriptors (560 of 768), refusals by nodes. At fault: Front::accept knew no other way than to wait, and finish_ending kept each ended connection for another second.

A gRPC node's unreadable message left its call waiting (node_client.cpp, data). An idle connection with a second answer in the kernel could be taken for the next request (client.cpp, start).

--- a/src/core/load_report.cpp
+++ b/src/core/load_report.cpp
@@ -24,6 +24,9 @@
   return false;
 }
 
+// No load is counted beyond it; what says more was not meant, or not written whole.
+constexpr float most_value = 1e9f;
+
 std::string_view trim(std::string_view text) {
   const auto first = text.find_first_not_of(" \t");
   if (first == std::string_view::npos) return {};
@@ -32,6 +35,7 @@
 
 }  // namespace
 
+// Guards the module against a report that came garbled: what can still be read of it is no better.
 std::vector<float> parse_load(std::string_view report, const std::vector<std::string>& columns) {
   std::vector<float> values(columns.size(), std::numeric_limits<float>::quiet_NaN());
   bool any = false;
@@ -40,11 +44,11 @@
     const std::string_view item = report.substr(0, comma);
     report.remove_prefix(comma == std::string_view::npos ? report.size() : comma + 1);
     const auto equals = item.find('=');
-    if (equals == std::string_view::npos) continue;
+    if (equals == std::string_view::npos) return {};
     const auto name = trim(item.substr(0, equals)), text = trim(item.substr(equals + 1));
     float value = 0;
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (error != std::errc() || end != text.data() + text.size() || !std::isfinite(value)) continue;
+    if (error != std::errc() || end != text.data() + text.size() || !(value >= 0 && value <= most_value)) return {};
     for (std::size_t i = 0; i < columns.size(); ++i)
       if (same_column(name, columns[i])) {
         values[i] = value;
--- a/src/grpc/node_client.cpp
+++ b/src/grpc/node_client.cpp
@@ -42,7 +42,7 @@
     bool declined;    // before it ran
     std::string load;
   };
-  virtual void message(std::string_view bytes) = 0;
+  virtual bool message(std::string_view bytes) = 0;  // false: it can't be read
   virtual void ended(const End& end) = 0;  // this call may be gone after it
 
  private:
@@ -56,13 +56,16 @@
     has_status_ = has_status_ || !text.empty();
   }
   void data(std::string_view piece) override {
-    if (!malformed_ && reader_.feed(piece, [this](std::string_view bytes) { message(bytes); }))
-      malformed_ = true;
+    // Guards against a stream that goes on after a message that can't be read: it is over there and then.
+    const auto fault = reader_.feed(piece, [this](std::string_view bytes) { malformed_ |= !message(bytes); });
+    if (!fault && !malformed_) return;
+    std::exchange(session_, nullptr)->reset(id_, NGHTTP2_CANCEL);
+    end_.how = Ending::malformed;
+    ended(end_);
   }
   void closed(std::uint32_t code, bool sent) override {
     session_ = nullptr;
-    if (malformed_) end_.how = Ending::malformed;
-    else if (has_status_) end_.how = Ending::whole;
+    if (has_status_) end_.how = Ending::whole;
     else if (!sent) end_.how = Ending::not_sent;
     else end_.how = code == 0 ? Ending::malformed : Ending::broken;
     ended(end_);
@@ -90,9 +93,9 @@
     request.set_body(*prompt.body);
     return request;
   }
-  void message(std::string_view bytes) override {
+  bool message(std::string_view bytes) override {
     v1::RunEvent event;
-    if (!event.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) return;
+    if (!event.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) return false;
     if (event.has_read()) {
       read_ = true;
       result_.kept = event.read().cached_tokens();
@@ -100,6 +103,7 @@
       events_ = true;
       attempt_.event(event.data());
     }
+    return true;
   }
   void ended(const End& end) override {
     result_.load = end.load;
@@ -134,9 +138,11 @@
       : NodeCall(session, node.address, method, std::move(framed), {}), done_(std::move(done)) {}
 
  private:
-  void message(std::string_view bytes) override {
+  bool message(std::string_view bytes) override {
     v1::LoadReply reply;
-    if (reply.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) result_.load = reply.report();
+    if (!reply.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) return false;
+    result_.load = reply.report();
+    return true;
   }
   void ended(const End& end) override {
     if (end.how == Ending::not_sent) result_.outcome = Outcome::connect_failed;
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -30,13 +30,15 @@
   }
   void hold_back(bool on) { connection_.read(!on); }
   const std::string& address() const { return address_; }
+  bool silent() const { return connection_.silent(); }
 
  private:
   void on_connected() override {
     connected_ = true;
     timer_.stop();
   }
-  void on_timer() { end(Ending::not_sent); }  // connecting took too long, or it was idle long enough
+  // Connecting took too long, or the head of an answer, or it was idle long enough.
+  void on_timer() { end(connected_ && exchange_ ? Ending::malformed : Ending::not_sent); }
 
   void on_readable() override {
     if (!exchange_) return end(Ending::malformed);  // nobody asked
@@ -54,7 +56,11 @@
   bool take_head() {
     for (;;) {
       const HeadScan scan = scan_head(connection_.input(), Kind::answer, scanned_);
-      if (scan.state == Scan::more) return false;
+      if (scan.state == Scan::more) {
+        if (!timer_.pending() && evbuffer_get_length(connection_.input()) > 0) timer_.start(owner_.limits_.head);
+        return false;
+      }
+      timer_.stop();
       std::optional<Body> body;
       if (scan.state == Scan::head) body = Body::of_answer(scan.head);
       if (!body) {
@@ -126,13 +132,8 @@
 
 std::unique_ptr<Exchange> Client::start(const std::string& address, std::string_view head,
                                         std::shared_ptr<const std::string> body, Listener& listener) {
-  PooledConnection* connection = nullptr;
-  auto& idle = idle_[address];
-  if (!idle.empty()) {
-    connection = idle.front();
-    idle.pop_front();
-    --idle_count_;
-  } else {
+  PooledConnection* connection = take_idle(address);
+  if (!connection) {
     auto made = std::make_unique<PooledConnection>(*this, address);
     connection = made.get();
     all_[connection] = std::move(made);
@@ -142,6 +143,23 @@
   return exchange;
 }
 
+// Guards against a node that closed a connection, or sent a second answer on it, while it rested: what has come
+// in but was not looked at yet would be lost with the request, or be taken for its answer.
+PooledConnection* Client::take_idle(const std::string& address) {
+  auto& idle = idle_[address];
+  while (!idle.empty()) {
+    PooledConnection* connection = idle.front();
+    if (!connection->silent()) {
+      discard(*connection);
+      continue;
+    }
+    idle.pop_front();
+    --idle_count_;
+    return connection;
+  }
+  return nullptr;
+}
+
 void Client::hang_up(const std::string& address) {
   const auto found = idle_.find(address);
   if (found == idle_.end()) return;
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -35,6 +35,7 @@
   microseconds connect_timeout{std::chrono::milliseconds(250)};
   microseconds idle{std::chrono::seconds(8)};  // idle connections are retired after it
   std::size_t idle_most = 64;                  // of all addresses together
+  microseconds head{std::chrono::seconds(1)};  // for a head to end that has begun
 };
 
 class PooledConnection;
@@ -66,6 +67,7 @@
   friend class PooledConnection;
   void idle(PooledConnection& connection);
   void discard(PooledConnection& connection);
+  PooledConnection* take_idle(const std::string& address);
 
   net::Loop& loop_;
   ClientLimits limits_;
--- a/src/http/event_stream.cpp
+++ b/src/http/event_stream.cpp
@@ -20,7 +20,7 @@
       stopped_ = !line(whole);
     }
     piece.remove_prefix(end + 1);
-    if (data_.size() > most_body) return false;
+    if (malformed_ || data_.size() > most_body) return false;
   }
   return true;
 }
@@ -35,7 +35,13 @@
   }
   if (text.front() == ':') return on_comment(trim(text.substr(1)));
   const auto colon = text.find(':');
-  if (text.substr(0, colon) != "data") return true;  // nodes send no other field
+  const auto name = text.substr(0, colon);
+  if (name != "data") {
+    // Guards against a chunk whose size does not fit: framing that ends up among the events looks like a field,
+    // but like none that an event stream can have.
+    malformed_ = name != "event" && name != "id" && name != "retry";
+    return !malformed_;
+  }
   auto value = colon == std::string_view::npos ? std::string_view() : text.substr(colon + 1);
   if (!value.empty() && value.front() == ' ') value.remove_prefix(1);
   if (has_data_) data_ += '\n';
--- a/src/http/event_stream.h
+++ b/src/http/event_stream.h
@@ -14,13 +14,13 @@
   std::function<bool(std::string_view data)> on_event;
   std::function<bool(std::string_view text)> on_comment;
 
-  // False if an event grew beyond what is allowed.
+  // False if an event grew beyond what is allowed, or a line is none of an event stream.
   bool feed(std::string_view piece);
 
  private:
   bool line(std::string_view text);  // false: stop
   std::string line_, data_;
-  bool has_data_ = false, stopped_ = false;
+  bool has_data_ = false, stopped_ = false, malformed_ = false;
 };
 
 }  // namespace lemonroute::http
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -95,6 +95,7 @@
   // Guards the places of the front: a peer that says nothing, or sends its request by drops, has as long for
   // all of it, so the time of the first request runs from connecting on and is never started anew.
   void begin_request() {
+    whole_ = false;
     if (std::exchange(in_request_, true) || !asked_) return;
     timer_.start(front_.options_.asking);
     front_.admission_.busy(*this);
@@ -151,7 +152,7 @@
     if (state == Body::State::more) return;
     timer_.stop();
     in_request_ = false;
-    asked_ = true;
+    asked_ = whole_ = true;
     front_.admission_.busy(*this);
     if (status_ != 0) return answer(status_);
     inquiry_.prompt.body = std::move(text_);
@@ -183,7 +184,7 @@
     std::ostringstream chunk;
     if (state_ == State::waiting) {
       state_ = State::streaming;
-      closes_ = front_.draining_ || !keep_;
+      closes_ = ends_connection();
       chunk << "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCache-Control: no-cache\r\n"
             << (closes_ ? "Connection: close\r\n" : "") << "Transfer-Encoding: chunked\r\n\r\n";
     }
@@ -222,8 +223,12 @@
     if (connection_.unsent() == 0) finish_ending();
   }
 
+  // Guards against clients that ask once and stay: by the time their places are needed there may be hundreds
+  // of them, all too fresh at rest to be closed.
+  bool ends_connection() const { return front_.draining_ || !keep_ || front_.admission_.crowded(); }
+
   void answer(int status, std::string_view field = {}) {
-    const bool closes = front_.draining_ || !keep_;
+    const bool closes = ends_connection();
     std::ostringstream text;
     const std::string body = std::string(reason(status)) + "\n";
     text << "HTTP/1.1 " << status << ' ' << reason(status) << "\r\nContent-Type: text/plain\r\nContent-Length: "
@@ -255,9 +260,10 @@
   }
 
   // All has been sent. Closing with bytes unread would reset the connection and could take the answer with
-  // it, so the client's are read for a moment; a cut stream has nothing to protect.
+  // it, so a client that may still be sending is read for a moment. One that has sent its whole request is
+  // not, and a cut stream has nothing to protect.
   void finish_ending() {
-    if (cut_) return close();
+    if (cut_ || (whole_ && evbuffer_get_length(connection_.input()) == 0)) return close();
     state_ = State::lingering;
     connection_.end_sending();
     timer_.start(linger_for);
@@ -268,7 +274,7 @@
   RequestId id_ = 0;
   Inquiry inquiry_;
   int status_ = 0;
-  bool keep_ = true, closes_ = false, in_request_ = false, asked_ = false, held_back_ = false, cut_ = false;
+  bool keep_ = true, closes_ = false, in_request_ = false, asked_ = false, whole_ = false, held_back_ = false, cut_ = false;
   std::size_t scanned_ = 0;
   Body body_;
   std::shared_ptr<std::string> text_;
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -132,6 +132,15 @@
   const evbuffer_ptr found = evbuffer_search(input, "\r\n\r\n", 4, have > back ? &from : nullptr);
   if (found.pos < 0 || static_cast<std::size_t>(found.pos) > most_head) {
     scanned = have;
+    // Guards against a node that sends noise, or a head that never ends, at its leisure.
+    constexpr std::string_view opening = "HTTP/1.";
+    char begun[opening.size()];
+    const auto copied = evbuffer_copyout(input, begun, sizeof begun);
+    if (kind == Kind::answer && copied > 0 && !opening.starts_with({begun, static_cast<std::size_t>(copied)})) {
+      result.state = Scan::fault;
+      result.fault = Fault::bad;
+      return result;
+    }
     if (have <= most_head) return result;
     result.state = Scan::fault;
     result.fault = Fault::head_too_large;
@@ -173,6 +182,7 @@
     if (!same_name(head.field("Transfer-Encoding"), "chunked") || length == Length::stated)
       return std::nullopt;
     body.framing_ = Framing::chunked;
+    body.chunk_limit_ = most_chunk;
   } else {
     body.framing_ = length == Length::stated ? Framing::length : Framing::until_close;
   }
@@ -234,6 +244,8 @@
     if (chunk_ == Chunk::size) {
       if (!parse_number(trim(line.substr(0, line.find(';'))), 16, left_)) return fail(Fault::bad);
       if (limit_ > 0 && (left_ > limit_ || taken_ + left_ > limit_)) return fail(Fault::too_large);
+      // Guards against a chunk that is said to hold gigabytes and keeps coming: no event in it would be whole.
+      if (chunk_limit_ > 0 && left_ > chunk_limit_) return fail(Fault::too_large);
     }
     evbuffer_drain(input, length + 2);
     switch (chunk_) {
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -16,6 +16,7 @@
 constexpr std::size_t most_head = 16 * 1024;
 constexpr std::size_t most_body = 256 * 1024;
 constexpr std::size_t most_fields = 64;
+constexpr std::size_t most_chunk = 1024 * 1024;  // of an answer, whose length as a whole is not bounded
 
 struct Field {
   std::string_view name, value;
@@ -52,6 +53,7 @@
   Head head;
   std::size_t length = 0;
 };
+// An answer that does not begin like one is a fault before its head has an end.
 HeadScan scan_head(evbuffer* input, Kind kind, std::size_t& scanned);
 Fault parse_head(std::string_view text, Kind kind, Head& head);  // text without the empty line
 
@@ -78,7 +80,7 @@
 
   Framing framing_ = Framing::none;
   Chunk chunk_ = Chunk::size;
-  std::uint64_t left_ = 0, taken_ = 0, limit_ = 0;
+  std::uint64_t left_ = 0, taken_ = 0, limit_ = 0, chunk_limit_ = 0;  // 0 = unbounded
   std::size_t trailer_ = 0;
   Fault fault_ = Fault::none;
 };
--- a/src/http/node_client.cpp
+++ b/src/http/node_client.cpp
@@ -80,7 +80,7 @@
       if (text_.size() + piece.size() <= most_answer) text_ += piece;
       return;
     }
-    if (!stream_.feed(piece)) done(Outcome::reset, "an event is too large");
+    if (!stream_.feed(piece)) done(events_ ? Outcome::reset : Outcome::error, "the event stream is malformed");
   }
 
   bool event(std::string_view data) {
--- a/src/net/admission.cpp
+++ b/src/net/admission.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "base/log.h"
+
 namespace lemonroute::net {
 namespace {
 
@@ -49,7 +51,11 @@
   while (present_ >= most_)
     if (!dismiss_first(resting_, rest_at_least) && !dismiss_first(unproven_, prove_within)) break;
   if (present_ < most_) return;
-  if (!std::exchange(paused_, true)) pause_(true);
+  if (!std::exchange(paused_, true)) {
+    logging::info() << "all " << most_ << " places are taken, " << resting_.size() << " by connections at rest, "
+                    << unproven_.size() << " by such that have not asked; newcomers wait";
+    pause_(true);
+  }
   again_.start(look_again);
 }
 
--- a/src/net/admission.h
+++ b/src/net/admission.h
@@ -31,6 +31,7 @@
   void busy(Guest& guest);     // a request of it is open: it is not dismissed
   void at_rest(Guest& guest);  // between requests
   void left(Guest& guest);
+  bool crowded() const { return present_ > most_ / 2; }  // answers had better end their connections
 
  private:
   void move(Guest& guest, std::list<Guest*>* to);
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -83,6 +83,12 @@
   else bufferevent_disable(bev_.get(), EV_READ);
 }
 void Connection::limit_input(std::size_t n) { bufferevent_setwatermark(bev_.get(), EV_READ, 0, n); }
+bool Connection::silent() const {
+  char byte = 0;
+  return evbuffer_get_length(bufferevent_get_input(bev_.get())) == 0 &&
+         recv(bufferevent_getfd(bev_.get()), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
+         (errno == EAGAIN || errno == EWOULDBLOCK);
+}
 void Connection::end_sending() { shutdown(bufferevent_getfd(bev_.get()), SHUT_WR); }
 void Connection::poke() {
   bufferevent_trigger(bev_.get(), EV_READ, static_cast<int>(BEV_OPT_DEFER_CALLBACKS) | BEV_TRIG_IGNORE_WATERMARKS);
--- a/tests/net/parser_test.cpp
+++ b/tests/net/parser_test.cpp
@@ -63,6 +63,8 @@
       {a, "HTTP/1.1 2000 OK\r\n\r\n", 400},
       {a, "HTTP/1.1 099 OK\r\n\r\n", 400},
       {a, "HTCP/1.1 200 OK\r\n\r\n", 400},
+      {a, "noise without an end", 400},
+      {a, "HTTP/2", 400},
   };
   for (const auto& row : bad)
     for (const std::size_t step : {std::size_t(1), std::size_t(7), row.text.size()}) {
@@ -135,6 +137,21 @@
       assert(body_of(head, bytes, step) == expected);
 }
 
+// A chunk of an answer may not claim more than can be meant, however long the answer is.
+void answer_chunks() {
+  http::Head head;
+  assert(http::parse_head("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked", http::Kind::answer, head) ==
+         http::Fault::none);
+  for (const auto& [size, state] : {std::pair{"100000\r\n", http::Body::State::more},
+                                    std::pair{"100001\r\n", http::Body::State::fault},
+                                    std::pair{"b2d05e00\r\n", http::Body::State::fault}}) {
+    const Buffer buffer(evbuffer_new());
+    evbuffer_add(buffer.get(), size, std::string_view(size).size());
+    auto body = http::Body::of_answer(head);
+    assert(body && body->take(buffer.get(), [](std::string_view) { return true; }) == state);
+  }
+}
+
 void streams() {
   const string text = ": note\r\ndata: a\n\ndata:b\ndata: c\n\nevent: x\ndata\n\n\ndata: [DONE]\n\n: Srv-Load: x0=1\n\n";
   for (std::size_t step = 1; step <= text.size(); ++step) {
@@ -148,6 +165,11 @@
   http::EventStream endless;
   endless.on_event = endless.on_comment = [](std::string_view) { return true; };
   assert(!endless.feed("data: " + string(http::most_body + 1, 'x')));
+  for (const char* bad : {"1f\n", "data: a\n\n\r\n20\r\ndata: b\n\n", "dat: a\n"}) {
+    http::EventStream stream;
+    stream.on_event = stream.on_comment = [](std::string_view) { return true; };
+    assert(!stream.feed(bad));
+  }
 }
 
 void messages() {
@@ -210,6 +232,7 @@
 int main() {
   heads();
   bodies();
+  answer_chunks();
   streams();
   messages();
   lists();
--- a/tests/net/scenario.cpp
+++ b/tests/net/scenario.cpp
@@ -7,7 +7,7 @@
 //   c1 send request q1 2s          a client asks, with the deadline given
 //   r1 expect run q1               the next thing that the peer sees, word for word
 //   r1 send read 64                the prompt has been read
-//   w1 send event hello            then: send end, declined, lost, error, unfit, junk
+//   w1 send event hello            then: send end, declined, lost, error, unfit, junk, spoilt
 //   c1 expect event hello          likewise: end, refused 500ms, failed timed_out, cut, rejected
 //   c1 close                       the client goes; a node breaks the attempt off
 //   r* expect run q1               whichever of r.. it is
@@ -206,6 +206,10 @@
     if (what == "error") return whole("500 Internal Server Error", "", "");
     if (what == "unfit") return whole("400 Bad Request", "", "");
     if (what == "junk") return raw_send("no HTTP at all\r\n\r\n");
+    if (what == "spoilt") {
+      if (!open_->streaming) chunk(": opened\n");
+      return raw_send("zz\r\n");
+    }
     if (what == "event") return chunk("data: " + join(words, 1) + "\n\n");
     assert(what == "end");
     chunk("data: [DONE]\n\n");
@@ -292,6 +296,10 @@
     if (what == "read" || what == "end") over(grpc::Status::ok, {});
     if (what == "declined") over(grpc::Status::unavailable, {{"srv-declined", "1"}});
     if (what == "lost") over(grpc::Status::failed_precondition, {{"srv-declined", "1"}});
+    if (what == "spoilt") {
+      open_->call.send(string("\0\xff\xff\xff\xff", 5));
+      open_ = nullptr;
+    }
     if (what == "unfit") over(grpc::Status::invalid_argument, {});
     if (what == "error" || what == "junk") over(grpc::Status::internal, {});
   }
--- a/tests/net/tools_test.cpp
+++ b/tests/net/tools_test.cpp
@@ -1,5 +1,6 @@
 // What operators touch: the command line, agent-check and grpc.health.v1.
 #undef NDEBUG
+#include <fcntl.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
@@ -14,6 +15,7 @@
 
 #include "cli/commands.h"
 #include "config/operator.h"
+#include "http/client.h"
 #include "ops/agent_check.h"
 #include "ops/health_service.h"
 #include "proto/health.pb.h"
@@ -163,6 +165,39 @@
   close(ends[0]);
 }
 
+struct Answer : http::Listener {
+  void head(const http::Head&) override {}
+  void body(std::string_view) override {}
+  void ended(http::Ending) override { over = true; }
+  bool over = false;
+};
+
+// What a node sends behind an answer must not be taken for the next one, even if it is still in the kernel when
+// the connection is wanted again.
+void second_answer() {
+  Door door;
+  net::Loop loop;
+  http::Client client(loop, {});
+  Answer first, next;
+  const auto one = client.start(door.address, "GET / HTTP/1.1\r\n\r\n", {}, first);
+  const int node = accept(door.fd, nullptr, nullptr);
+  const string answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+  assert(write(node, answer.data(), answer.size()) == static_cast<ssize_t>(answer.size()));
+  while (!first.over) loop.run_once();
+  assert(write(node, answer.data(), answer.size()) == static_cast<ssize_t>(answer.size()));
+  const auto two = client.start(door.address, "GET /next HTTP/1.1\r\n\r\n", {}, next);
+  int other = -1;
+  fcntl(door.fd, F_SETFL, O_NONBLOCK);
+  net::Timer look(loop, [] {});
+  while ((other = accept(door.fd, nullptr, nullptr)) < 0 && !next.over) {
+    look.start(std::chrono::milliseconds(5));
+    loop.run_once();
+  }
+  assert(!next.over);
+  close(other);
+  close(node);
+}
+
 struct NoNodes : Nodes {
   std::unique_ptr<Call> begin(const Node&, const Prompt&, Micros, Attempt&) override { return nullptr; }
   std::unique_ptr<Call> release(const Node&, const string&, std::function<void(bool)>) override { return nullptr; }
@@ -283,6 +318,7 @@
   command_line();
   faults();
   start_and_end();
+  second_answer();
   agent_check();
   health();
   std::remove("tools_test.toml");
