--- a/src/http/node_client.cpp
+++ b/src/http/node_client.cpp
@@ -80,7 +80,7 @@
       if (text_.size() + piece.size() <= most_answer) text_ += piece;
       return;
     }
-    if (!stream_.feed(piece)) done(events_ ? Outcome::reset : Outcome::error, "the event stream is malformed");
+    if (!stream_.feed(piece)) done(events_ ? Outcome::reset : Outcome::error, "the event stream is malformed" + after());
   }
 
   bool event(std::string_view data) {
@@ -88,7 +88,7 @@
     done_seen_ = data == "[DONE]";
     if (done_seen_) return true;
     if (data.find("\"usage\"") != std::string_view::npos) result_.kept = kept_tokens(data);
-    events_ = true;
+    ++events_;
     attempt_.event(data);
     return true;
   }
@@ -98,7 +98,7 @@
       case Ending::not_sent: return done(Outcome::connect_failed, "no connection");
       case Ending::broken: return done(Outcome::reset, "the connection broke");
       case Ending::malformed:
-        return done(events_ ? Outcome::reset : Outcome::error, "the answer is malformed");
+        return done(events_ ? Outcome::reset : Outcome::error, "the answer is malformed" + after());
       case Ending::whole: break;
     }
     if (result_.outcome == Outcome::read) result_.kept = kept_tokens(text_);
@@ -107,6 +107,8 @@
     attempt_.done(result_);
   }
 
+  std::string after() const { return events_ ? " after " + std::to_string(events_) + " events" : ""; }
+
   void done(Outcome outcome, std::string detail) {
     result_.outcome = outcome;
     result_.detail = std::move(detail);
@@ -117,7 +119,8 @@
   Attempt& attempt_;
   Result result_;
   int status_ = 0;
-  bool streams_ = false, events_ = false, done_seen_ = false;
+  bool streams_ = false, done_seen_ = false;
+  std::size_t events_ = 0;
   std::string text_;
   EventStream stream_;
   std::unique_ptr<Exchange> exchange_;
