--- a/src/core/conductor.cpp
+++ b/src/core/conductor.cpp
@@ -15,6 +15,7 @@
 // A node that stays silent in the middle of a stream is given up before the client has waited for 5 s.
 constexpr Micros stream_silence = milliseconds(4500);
 constexpr Micros release_again = milliseconds(60);  // between tries to have a state let go
+constexpr Micros release_answer = milliseconds(250);  // a node that is reached has answered by then
 constexpr Micros release_for = seconds(4);  // the node has certainly dropped it itself, or died, by then
 
 constexpr RequestId request_bits = (RequestId(1) << 52) - 1;
@@ -47,8 +48,8 @@
 
 // One attempt of a request, on its way.
 struct Conductor::Try : Attempt {
-  Try(Conductor& owner, RequestId of, std::uint16_t number, HostId at, Micros now)
-      : conductor(owner), request(of), number(number), host(at), sent(now) {}
+  Try(Conductor& owner, RequestId of, std::uint16_t number, const Node& at, Role role, Micros now)
+      : conductor(owner), request(of), number(number), host(at.id), node(at.name), role(role), sent(now) {}
   void event(std::string_view data) override { conductor.event(*this, data); }
   void done(Result result) override { conductor.done(*this, std::move(result)); }
 
@@ -56,6 +57,8 @@
   RequestId request;
   std::uint16_t number;
   HostId host;
+  std::string node;
+  Role role;
   Micros sent;
   bool started = false;
   std::unique_ptr<Call> call;
@@ -106,8 +109,7 @@
   if (kind != ListKind::delta)
     for (auto& [id, node] : known_) node.entry.phase = Phase::gone;
   for (const auto& item : listed) {
-    auto id = static_cast<HostId>(hash_of(item.name));
-    while (known_.count(id) && known_[id].name != item.name) ++id;
+    const HostId id = id_of(item.name);
     Node& node = known_[id];
     node.id = id;
     node.name = item.name;
@@ -120,9 +122,20 @@
   }
   logging::info() << "list " << version << (kind == ListKind::delta ? ": changes for " : ": whole, ")
                   << listed.size() << " nodes, " << ready_nodes() << " ready";
+  // Guards the memory of a conductor that outlives its nodes many times over: a node that has gone is
+  // forgotten. What is still under way there knows its name.
+  std::erase_if(known_, [](const auto& node) { return node.second.entry.phase == Phase::gone; });
   put(std::move(list));
 }
 
+HostId Conductor::id_of(const std::string& name) const {
+  for (const auto& [id, node] : known_)
+    if (node.name == name) return id;
+  auto id = static_cast<HostId>(hash_of(name));
+  while (known_.count(id)) ++id;
+  return id;
+}
+
 std::size_t Conductor::ready_nodes() const {
   return static_cast<std::size_t>(
       std::count_if(known_.begin(), known_.end(), [](const auto& node) { return node.second.ready(); }));
@@ -260,7 +273,7 @@
   if (node == known_.end() || !node->second.ready()) return answer(Outcome::connect_failed);
   const Micros left = entry->deadline - now;
   const Micros within = send.within > Micros(0) ? std::min(send.within, left) : left;
-  entry->out = std::make_unique<Try>(*this, send.id, number, send.host, now);
+  entry->out = std::make_unique<Try>(*this, send.id, number, node->second, role(send.host), now);
   Try& attempt = *entry->out;
   logging::debug() << entry->prompt.id << " attempt " << number << " to " << node->second.name;
   attempt.timer = timers_.add(now + within, [this, &attempt] { timed_out(attempt); });
@@ -350,18 +363,16 @@
   // client's, who is told at once.
   if (result.unfit) result.outcome = Outcome::moot;
   const std::unique_ptr<Try> ended = std::move(entry.out);
-  const auto node = known_.find(attempt.host);
-  logging::debug() << entry.prompt.id << " attempt " << attempt.number << " at " << node->second.name << ": "
+  logging::debug() << entry.prompt.id << " attempt " << attempt.number << " at " << attempt.node << ": "
                    << word(result.outcome) << (result.detail.empty() ? "" : ", ") << result.detail;
   if (result.unfit)
-    logging::info() << "node " << node->second.name << " can't use " << entry.prompt.id << ", " << result.detail;
+    logging::info() << "node " << attempt.node << " can't use " << entry.prompt.id << ", " << result.detail;
   if (result.outcome == Outcome::error || result.outcome == Outcome::reset)
-    logging::info() << "node " << node->second.name << ": attempt " << word(result.outcome) << ", "
-                    << result.detail;
+    logging::info() << "node " << attempt.node << ": attempt " << word(result.outcome) << ", " << result.detail;
   const bool never_ran = result.outcome == Outcome::full || result.outcome == Outcome::connect_failed ||
                          result.outcome == Outcome::moot;
   if (result.outcome == Outcome::read) entry.held_at = attempt.host;
-  else if (!never_ran && role(attempt.host) != Role::write && !attempt.started)
+  else if (!never_ran && attempt.role != Role::write && !attempt.started)
     entry.leftover = attempt.host;
   Client* client = entry.client;
   const bool finished = !client || result.outcome == Outcome::ok || attempt.started || result.unfit;
@@ -418,10 +429,17 @@
   ++released.tries;
   if (!node) return again();
   released.call = nodes_.release(*node, released.id, [this, &released, again](bool arrived) {
+    timers_.drop(released.timer);
     if (arrived) drop_release(released);
     else again();
     if (on_change) on_change();
   });
+  // Guards against a machine that has vanished with the connection open: the call never arrives and nothing
+  // tells so, while the state goes on being held there or the program waits to end.
+  released.timer = timers_.add(clock_.now() + release_answer, [this, &released, again] {
+    released.call.reset();
+    again();
+  });
 }
 
 void Conductor::drop_release(Released& released) {
--- a/src/core/conductor.h
+++ b/src/core/conductor.h
@@ -45,6 +45,7 @@
   std::function<void()> on_change;  // after anything that may have moved next_due, or made it idle
 
   std::size_t open() const { return open_; }  // requests taken and not answered
+  std::size_t known() const { return known_.size(); }
   bool idle() const { return requests_.empty() && releases_.empty(); }
   std::size_t ready_nodes() const;
 
@@ -80,6 +81,7 @@
   void start_release(Entry& entry, HostId holder);
   void try_release(Released& released);
   void drop_release(Released& released);
+  HostId id_of(const std::string& name) const;  // the one it has, or one that is free
   Role role(HostId id) const;
   Entry* find(RequestId id);
 
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -200,7 +200,10 @@
     if (list.kind == ListKind::cached && s.discovery_on_request) act(Subscribe{true});
     if (list.kind != ListKind::cached) ask_failures = 0;
     if (list.kind != ListKind::delta)
-      for (auto& [id, host] : hosts) host.listed = false;
+      for (auto& [id, host] : hosts) {
+        host.listed = false;
+        host.entry.phase = Phase::gone;
+      }
     for (const auto& entry : list.hosts) {
       Host& host = hosts[entry.host];
       if (host.entry.host != entry.host || host.entry.started != entry.started) {
@@ -215,6 +218,10 @@
       host.memory = entry.kind < s.kind_memory.size() ? s.kind_memory[entry.kind] : 0;
       host.listed = entry.phase == Phase::ready;
     }
+    // Danger: a module that outlives its hosts many times over and looks at all of them for each request.
+    std::erase_if(hosts, [](const auto& one) {
+      return one.second.entry.phase == Phase::gone && one.second.out.empty();
+    });
   }
 
   const Pool& pool(Role role) {
--- a/src/grpc/node_client.cpp
+++ b/src/grpc/node_client.cpp
@@ -44,6 +44,7 @@
   };
   virtual bool message(std::string_view bytes) = 0;  // false: it can't be read
   virtual void ended(const End& end) = 0;  // this call may be gone after it
+  void forget_load() { end_.load.clear(); }
 
  private:
   void headers(const Headers& headers) override {
@@ -100,7 +101,8 @@
       read_ = true;
       result_.kept = event.read().cached_tokens();
     } else if (event.kind_case() == v1::RunEvent::kData) {
-      events_ = true;
+      // Guards the age of reports: what the head told is as old as the stream by the time the attempt ends.
+      if (!std::exchange(events_, true)) forget_load();
       attempt_.event(event.data());
     }
     return true;
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -146,18 +146,18 @@
 // Guards against a node that closed a connection, or sent a second answer on it, while it rested: what has come
 // in but was not looked at yet would be lost with the request, or be taken for its answer.
 PooledConnection* Client::take_idle(const std::string& address) {
-  auto& idle = idle_[address];
-  while (!idle.empty()) {
-    PooledConnection* connection = idle.front();
-    if (!connection->silent()) {
+  for (;;) {
+    const auto idle = idle_.find(address);
+    if (idle == idle_.end()) return nullptr;
+    PooledConnection* connection = idle->second.front();
+    const bool silent = connection->silent();
+    if (!silent) {
       discard(*connection);
       continue;
     }
-    idle.pop_front();
-    --idle_count_;
+    remove_idle(*connection);
     return connection;
   }
-  return nullptr;
 }
 
 void Client::hang_up(const std::string& address) {
@@ -175,11 +175,18 @@
   connection.rest();
 }
 
+// An address with nothing idle is forgotten, or nodes that come and go would be remembered for good.
+void Client::remove_idle(PooledConnection& connection) {
+  const auto idle = idle_.find(connection.address());
+  if (idle == idle_.end()) return;
+  idle_count_ -= idle->second.remove(&connection);
+  if (idle->second.empty()) idle_.erase(idle);
+}
+
 void Client::discard(PooledConnection& connection) {
   const auto found = all_.find(&connection);
   if (found == all_.end()) return;
-  if (const auto idle = idle_.find(connection.address()); idle != idle_.end())
-    idle_count_ -= idle->second.remove(&connection);
+  remove_idle(connection);
   loop_.dispose(std::move(found->second));
   all_.erase(found);
 }
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -67,11 +67,12 @@
   friend class PooledConnection;
   void idle(PooledConnection& connection);
   void discard(PooledConnection& connection);
+  void remove_idle(PooledConnection& connection);
   PooledConnection* take_idle(const std::string& address);
 
   net::Loop& loop_;
   ClientLimits limits_;
-  std::map<std::string, std::list<PooledConnection*>> idle_;  // the last used first
+  std::map<std::string, std::list<PooledConnection*>> idle_;  // the last used first; none empty
   std::size_t idle_count_ = 0;
   std::map<PooledConnection*, std::unique_ptr<PooledConnection>> all_;
 };
--- a/src/http/node_client.cpp
+++ b/src/http/node_client.cpp
@@ -88,7 +88,8 @@
     done_seen_ = data == "[DONE]";
     if (done_seen_) return true;
     if (data.find("\"usage\"") != std::string_view::npos) result_.kept = kept_tokens(data);
-    ++events_;
+    // Guards the age of reports: what the head told is as old as the stream by the time the attempt ends.
+    if (events_++ == 0) result_.load.clear();
     attempt_.event(data);
     return true;
   }
--- a/tests/net/core_test.cpp
+++ b/tests/net/core_test.cpp
@@ -140,6 +140,38 @@
   assert(bed.core.idle() && bed.client.answers == 0);
 }
 
+// A release that is neither answered nor refused is given up after a while and asked of another node.
+void release_unheard() {
+  Bed bed({"r", "w", "w2"});
+  bed.take();
+  bed.done(Outcome::read);
+  bed.core.gone(bed.id);
+  assert(bed.nodes.released.size() == 1);
+  bed.pass(400ms);
+  bed.pass(100ms);
+  assert(bed.nodes.released.size() == 2);
+  assert(bed.nodes.released[1].first != bed.nodes.released[0].first);
+  for (int i = 0; i < 40; ++i) bed.pass(200ms);
+  assert(bed.core.idle());  // and not for ever
+}
+
+// Nodes that have gone are forgotten, though an attempt is still out at one of them.
+void nodes_come_and_go() {
+  Bed bed;
+  bed.take();
+  bed.done(Outcome::read);
+  bed.nodes.begun[1].attempt->event("a");
+  for (std::uint32_t i = 0; i < 100; ++i) {
+    const auto name = "r" + std::to_string(i);
+    bed.core.update(ListKind::delta, 2 + 2 * i, {Bed::node(name)});
+    bed.core.update(ListKind::delta, 3 + 2 * i, {Bed::node(name, Phase::gone)});
+  }
+  bed.core.update(ListKind::full, 300, {Bed::node("r")});
+  assert(bed.core.known() == 1);
+  bed.done(Outcome::ok);
+  assert(bed.client.seen == "a|end" && bed.core.idle());
+}
+
 // A read that is cut may have ended well: released when the request ends without another attempt.
 void cut_read() {
   for (const Outcome outcome : {Outcome::reset, Outcome::error}) {
@@ -229,6 +261,8 @@
 int main() {
   served();
   release_again();
+  release_unheard();
+  nodes_come_and_go();
   cut_read();
   deadline();
   drained_node_gets_nothing();
--- a/tests/net/tools_test.cpp
+++ b/tests/net/tools_test.cpp
@@ -15,10 +15,12 @@
 
 #include "cli/commands.h"
 #include "config/operator.h"
-#include "http/client.h"
+#include "grpc/node_client.h"
+#include "http/node_client.h"
 #include "ops/agent_check.h"
 #include "ops/health_service.h"
 #include "proto/health.pb.h"
+#include "proto/lemonroute.pb.h"
 
 namespace lemonroute {
 namespace {
@@ -198,6 +200,64 @@
   close(node);
 }
 
+struct Note : Attempt {
+  void event(std::string_view) override {}
+  void done(Result ended) override { result = ended, over = true; }
+  Result result;
+  bool over = false;
+};
+
+// Sends a stream of one event whose head brings a report, and whose end brings none.
+struct HttpStreamer : net::Connection::Handler {
+  explicit HttpStreamer(net::Loop& loop) : listener(loop, "127.0.0.1:0", [this, &loop](evutil_socket_t fd) {
+    connection.reset(new net::Connection(loop, fd, *this));
+  }) {}
+  void on_readable() override {
+    connection->write("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nSrv-Load: x0=1\r\n"
+                      "Content-Length: 23\r\n\r\ndata: a\n\ndata: [DONE]\n\n");
+  }
+  void on_closed() override {}
+  net::Listener listener;
+  std::unique_ptr<net::Connection> connection;
+};
+struct GrpcStreamer : grpc::SessionOwner, grpc::StreamEvents {
+  explicit GrpcStreamer(net::Loop& loop) : listener(loop, "127.0.0.1:0", [this, &loop](evutil_socket_t fd) {
+    session.reset(new grpc::Session(loop, fd, *this, {}));
+  }) {}
+  grpc::StreamEvents* opened(grpc::Session&, std::int32_t id, const grpc::Headers&) override {
+    stream = id;
+    return this;
+  }
+  void half_closed() override {
+    v1::RunEvent event;
+    event.set_data("a");
+    session->respond(stream, {{":status", "200"}, {"content-type", "application/grpc"}, {"srv-load", "x0=1"}});
+    session->write(stream, grpc::frame(event));
+    session->finish(stream, {{"grpc-status", "0"}});
+  }
+  void headers(const grpc::Headers&) override {}
+  void data(std::string_view) override {}
+  void closed(std::uint32_t, bool) override {}
+  void closed(grpc::Session&) override {}
+  net::Listener listener;
+  std::int32_t stream = 0;
+  std::unique_ptr<grpc::Session> session;
+};
+
+// A report counts from when it comes; one that came at the head of a stream is old when the stream ends.
+template <class Streamer, class Client, class Limits>
+void old_report() {
+  net::Loop loop;
+  Streamer streamer(loop);
+  Client client(loop, Limits{});
+  Node node;
+  node.address = "127.0.0.1:" + std::to_string(streamer.listener.port());
+  Note note;
+  const auto call = client.begin(node, {"q", "/", std::make_shared<string>("{}")}, std::chrono::seconds(5), note);
+  while (!note.over) loop.run_once();
+  assert(note.result.outcome == Outcome::ok && note.result.load.empty());
+}
+
 struct NoNodes : Nodes {
   std::unique_ptr<Call> begin(const Node&, const Prompt&, Micros, Attempt&) override { return nullptr; }
   std::unique_ptr<Call> release(const Node&, const string&, std::function<void(bool)>) override { return nullptr; }
@@ -319,6 +379,8 @@
   faults();
   start_and_end();
   second_answer();
+  old_report<HttpStreamer, http::NodeClient, http::ClientLimits>();
+  old_report<GrpcStreamer, lemonroute::grpc::NodeClient, lemonroute::grpc::Session::Limits>();
   agent_check();
   health();
   std::remove("tools_test.toml");
