Notice a silent discovery watch within 2 s instead of 23

Its log shows no list between 0.2 s and 23.2 s, then 'discovery fails: no answer' and changes for 12 nodes at once. So the watch's connection had gone silent, and the call was given up only after its 20 s wait and 3 s more (watch.cpp, wait_at_discovery and answer_within), 1 s later than changes count as told. Ruled out: the module (it had been told nothing), the core (no send to a node that it listed as leaving).

--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -9,8 +9,11 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr milliseconds wait_at_discovery = seconds(20);
-constexpr milliseconds answer_within = seconds(3);  // beyond that wait
+// Guards against a watch whose connection has gone silent: nothing tells that apart from a list that does not
+// change, so it goes unnoticed for as long as discovery may wait. What is told meanwhile counts as told 2 s after
+// that wait at the latest. The agent is on this machine, and a call costs it nothing.
+constexpr milliseconds wait_at_discovery = seconds(1);
+constexpr milliseconds answer_within = seconds(1);  // beyond that wait, and between parts of an answer
 constexpr milliseconds ask_again = milliseconds(100);  // a watch goes on if the next call comes within 200 ms
 constexpr std::size_t most_list = 8 * 1024 * 1024;
 
@@ -47,6 +50,7 @@
 }
 
 void Watch::body(std::string_view piece) {
+  overdue_.start(answer_within);
   if (text_.size() + piece.size() <= most_list) text_ += piece;
   else status_ = 0;
 }
