--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -13,6 +13,7 @@
 #include "http/node_client.h"
 #include "ops/agent_check.h"
 #include "ops/health_service.h"
+#include "ops/management.h"
 
 namespace lemonroute::cli {
 namespace {
@@ -23,16 +24,22 @@
 constexpr milliseconds arrival_window{600};
 constexpr milliseconds end_poll{20};
 
+// Descriptors: some for the program itself and for management callers; of the rest two fifths for clients, as
+// many for the calls made for them, an eighth for idle connections.
+constexpr std::size_t own_descriptors = 16 + ops::Management::most_callers;
+std::size_t shared_descriptors(const config::Platform& platform) {
+  return platform.sockets - std::min(own_descriptors, platform.sockets / 2);
+}
+
 std::unique_ptr<Nodes> make_nodes(net::Loop& loop, const config::Platform& platform, bool grpc) {
   if (grpc) return std::make_unique<grpc::NodeClient>(loop, grpc::Session::Limits{platform.settings.connect_timeout});
   // Nodes close what has been idle for the platform's time; a request written to it then is lost.
   return std::make_unique<http::NodeClient>(
-      loop, http::ClientLimits{platform.settings.connect_timeout, platform.connection_idle * 6 / 10, platform.sockets / 8});
+      loop, http::ClientLimits{platform.settings.connect_timeout, platform.connection_idle * 6 / 10, shared_descriptors(platform) / 8});
 }
 
-// Descriptors: two fifths for clients, as many for the calls made for them, an eighth for idle connections.
 http::Front::Options front_options(const config::Platform& platform, const config::Operator& settings) {
-  http::Front::Options options{{platform.listen}, platform.sockets * 2 / 5};
+  http::Front::Options options{{platform.listen}, shared_descriptors(platform) * 2 / 5};
   options.listen.insert(options.listen.end(), settings.http_listen.begin(), settings.http_listen.end());
   return options;
 }
@@ -59,6 +66,11 @@
       agent_ = std::make_unique<ops::AgentCheck>(loop_, settings.agent_check_listen, status_);
       logging::info() << "agent-check on " << settings.agent_check_listen;
     }
+    if (!platform.management.empty()) {
+      management_ = std::make_unique<ops::Management>(loop_, platform.management, conductor_, status_,
+                                                      [this] { return reloads_; });
+      logging::info() << "management on " << platform.management;
+    }
     conductor_.on_change = [this] { changed(); };
     conductor_.update(ListKind::cached, platform.known.version, platform.known.nodes);
     watch_.start();
@@ -104,7 +116,9 @@
       const auto platform = config::reload_platform(std::getenv);
       logging::info() << "SIGHUP: discovery at " << platform.discovery;
       watch_.move(platform.discovery);
+      ++reloads_.loaded;
     } catch (const config::ConfigError& error) {
+      ++reloads_.invalid;
       logging::error() << "SIGHUP: the configuration stays as it was: " << error.what();
     }
   }
@@ -133,6 +147,8 @@
   net::Signal term_, interrupt_, hang_up_;
   std::unique_ptr<Grpc> grpc_;
   std::unique_ptr<ops::AgentCheck> agent_;
+  ops::Reloads reloads_;
+  std::unique_ptr<ops::Management> management_;
   bool draining_ = false;
 };
 
--- a/src/config/platform.cpp
+++ b/src/config/platform.cpp
@@ -71,6 +71,7 @@
     platform.name = config.value("name", "");
     platform.listen = config.value("listen", "");
     platform.discovery = config.value("discovery", "");
+    platform.management = config.value("mgmt", "");
     const auto seed = config.value("seed", "0");
     std::from_chars(seed.data(), seed.data() + seed.size(), platform.seed, 16);
     if (const auto limits = config.find("limits"); limits != config.end())
@@ -124,10 +125,12 @@
   Platform platform = read_platform(variable);
   for (auto [name, field] : {std::pair{"BALANCER_NAME", &platform.name},
                              std::pair{"BALANCER_LISTEN", &platform.listen},
-                             std::pair{"BALANCER_DISCOVERY", &platform.discovery}})
+                             std::pair{"BALANCER_DISCOVERY", &platform.discovery},
+                             std::pair{"BALANCER_MGMT", &platform.management}})
     if (const char* value = variable(name)) *field = value;
   check_address("listen", platform.listen);
   check_address("discovery", platform.discovery);
+  if (!platform.management.empty()) check_address("mgmt", platform.management);
   return platform;
 }
 
--- a/src/config/platform.h
+++ b/src/config/platform.h
@@ -16,6 +16,7 @@
 
 struct Platform {
   std::string name, listen, discovery;
+  std::string management;  // empty: off
   std::uint64_t seed = 0;
   std::size_t sockets = 1024;
   Settings settings;
--- a/src/core/conductor.cpp
+++ b/src/core/conductor.cpp
@@ -50,6 +50,7 @@
 struct Conductor::Try : Attempt {
   Try(Conductor& owner, RequestId of, std::uint16_t number, const Node& at, Role role, Micros now)
       : conductor(owner), request(of), number(number), host(at.id), node(at.name), role(role), sent(now) {}
+  void written() override { conductor.written(*this); }
   void event(std::string_view data) override { conductor.event(*this, data); }
   void done(Result result) override { conductor.done(*this, std::move(result)); }
 
@@ -71,6 +72,7 @@
   Client* client = nullptr;  // null once answered or gone
   Micros deadline{};
   std::uint16_t attempts = 0;
+  std::shared_ptr<Counts> counts;  // of the class that it was taken with
   std::unique_ptr<Try> out;  // at most one
   HostId held_at = 0;        // the node of the last read that ended well
   // A node where a read was cut. It may have ended well in that very moment and hold a state that nobody
@@ -95,7 +97,9 @@
       kinds_(std::move(kinds)),
       clock_(clock),
       nodes_(nodes),
-      scheduler_(settings_, seed) {}
+      scheduler_(settings_, seed) {
+  counts_.keep(settings_.classes);
+}
 Conductor::~Conductor() = default;
 
 // ---- The list of nodes ------------------------------------------------------------------------------------
@@ -141,6 +145,14 @@
       std::count_if(known_.begin(), known_.end(), [](const auto& node) { return node.second.ready(); }));
 }
 
+Figures Conductor::figures() const {
+  Figures figures{counts_.all(), open_, known_.size(), 0};
+  const auto avoided = scheduler_.avoided(clock_.now());
+  for (const auto& [id, node] : known_)
+    if (std::find(avoided.begin(), avoided.end(), id) != avoided.end()) ++figures.unhealthy;
+  return figures;
+}
+
 Role Conductor::role(HostId id) const {
   const auto found = known_.find(id);
   if (found == known_.end() || found->second.entry.kind >= settings_.kind_role.size()) return Role::both;
@@ -183,6 +195,7 @@
   entry->id = id;
   entry->prompt = inquiry.prompt;
   entry->client = &client;
+  entry->counts = counts_.of(settings_.classes[cls].name);
   entry->deadline = clock_.now() + request.budget;
   requests_[id] = std::move(entry);
   ++open_;
@@ -285,6 +298,7 @@
   if (!entry || !entry->client) return;
   Client& client = *entry->client;
   end(*entry);
+  ++entry->counts->deferred;
   touched_.push_back(refuse.id);
   client.refuse(refuse.stay_away);
 }
@@ -294,6 +308,7 @@
   if (!entry || !entry->client) return;
   Client& client = *entry->client;
   end(*entry);
+  ++entry->counts->errored;
   touched_.push_back(fail.id);
   client.fail(clock_.now() >= entry->deadline ? Failure::timed_out : Failure::gave_up);
 }
@@ -337,6 +352,8 @@
 
 // ---- Attempts ---------------------------------------------------------------------------------------------
 
+void Conductor::written(Try& attempt) { ++find(attempt.request)->counts->sends; }
+
 void Conductor::event(Try& attempt, std::string_view data) {
   Entry& entry = *find(attempt.request);
   watch_silence(attempt);
@@ -376,7 +393,10 @@
     entry.leftover = attempt.host;
   Client* client = entry.client;
   const bool finished = !client || result.outcome == Outcome::ok || attempt.started || result.unfit;
-  if (client && finished) end(entry);
+  if (client && finished) {
+    end(entry);
+    ++(result.outcome == Outcome::ok ? entry.counts->answered : entry.counts->errored);
+  }
   Completed completed{attempt.request, result.outcome, finished, clock_.now() - attempt.sent, attempt.host,
                       result.kept,     attempt.number, parse_load(result.load, settings_.report_columns)};
   ended->call.reset();
--- a/src/core/conductor.h
+++ b/src/core/conductor.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <unordered_map>
 
+#include "core/figures.h"
 #include "core/timers.h"
 #include "core/types.h"
 
@@ -48,6 +49,7 @@
   std::size_t known() const { return known_.size(); }
   bool idle() const { return requests_.empty() && releases_.empty(); }
   std::size_t ready_nodes() const;
+  Figures figures() const;
 
  private:
   struct Try;
@@ -71,6 +73,7 @@
   void act(const Subscribe&) {}  // the watch is always on here
   void act(const Snapshot&) {}
 
+  void written(Try& attempt);
   void event(Try& attempt, std::string_view data);
   void done(Try& attempt, Result result);
   void watch_silence(Try& attempt);
@@ -97,6 +100,7 @@
   std::list<Released> releases_;
   std::map<std::uint64_t, std::unique_ptr<Call>> probes_;
   std::uint64_t next_probe_ = 0;
+  CountsByClass counts_;
   std::size_t open_ = 0;
   std::deque<Event> events_;
   std::vector<RequestId> touched_;
--- /dev/null
+++ b/src/core/figures.h
@@ -0,0 +1,65 @@
+// What the conductor counts from its start on, for each class.
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "lemonroute/scheduler.h"
+
+namespace lemonroute {
+
+struct Counts {
+  std::uint64_t answered = 0, deferred = 0, errored = 0;  // requests served, refused, failed
+  std::uint64_t sends = 0;                                // attempts written whole to nodes
+};
+
+// What is true of the whole at one moment.
+struct Figures {
+  std::map<std::string, Counts> classes;
+  std::size_t current = 0;    // requests taken and not ended
+  std::size_t listed = 0;     // nodes in the list
+  std::size_t unhealthy = 0;  // of them, those avoided: by hand, or by the module's choice
+};
+
+// The counts by class. A request holds on to the counts of the class that it was taken with, whatever becomes of
+// that class meanwhile.
+class CountsByClass {
+ public:
+  std::shared_ptr<Counts> of(const std::string& name) {
+    auto& counts = counts_[name];
+    if (!counts) counts = std::make_shared<Counts>();
+    return counts;
+  }
+  // Guards against a sidecar that is retuned for years under ever new names: of the classes that have vanished,
+  // only the last ones keep their counts.
+  void keep(const std::vector<ClassSettings>& classes) {
+    for (const auto& one : classes) {
+      of(one.name);
+      std::erase(vanished_, one.name);
+    }
+    for (const auto& [name, counts] : counts_) {
+      const auto is = [&name = name](const auto& one) { return one == name; };
+      if (std::none_of(classes.begin(), classes.end(), [&](auto& one) { return is(one.name); }) &&
+          std::none_of(vanished_.begin(), vanished_.end(), is))
+        vanished_.push_back(name);
+    }
+    for (; vanished_.size() > most_vanished; vanished_.pop_front()) counts_.erase(vanished_.front());
+  }
+  std::map<std::string, Counts> all() const {
+    std::map<std::string, Counts> copy;
+    for (const auto& [name, counts] : counts_) copy[name] = *counts;
+    return copy;
+  }
+
+ private:
+  static constexpr std::size_t most_vanished = 64;
+  std::map<std::string, std::shared_ptr<Counts>> counts_;
+  std::deque<std::string> vanished_;
+};
+
+}  // namespace lemonroute
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -93,6 +93,7 @@
 class Attempt {
  public:
   virtual ~Attempt() = default;
+  virtual void written() = 0;  // the last byte of the request has gone to the kernel
   virtual void event(std::string_view data) = 0;  // the call may be let go of by the time it returns
   virtual void done(Result result) = 0;  // once, and never from within begin; the call is gone after it
 };
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -922,6 +922,15 @@
 Scheduler::Scheduler(Scheduler&&) noexcept = default;
 Scheduler& Scheduler::operator=(Scheduler&&) noexcept = default;
 
+std::vector<HostId> Scheduler::avoided(Micros now) const {
+  std::vector<HostId> ids;
+  core_->now = std::max(core_->now, now);
+  core_->surveyed = false;
+  for (const auto& [id, host] : core_->hosts)
+    if (host.listed && core_->left_out(host)) ids.push_back(id);
+  return ids;
+}
+
 void Scheduler::handle(Micros now, const Event& event, std::vector<Action>& actions) {
   core_->now = std::max(core_->now, now);
   core_->actions = &actions;
--- a/src/grpc/node_client.cpp
+++ b/src/grpc/node_client.cpp
@@ -87,6 +87,7 @@
         attempt_(attempt) {}
 
  private:
+  void written() override { attempt_.written(); }
   static v1::RunRequest request(const Prompt& prompt) {
     v1::RunRequest request;
     request.set_id(prompt.id);
--- a/src/grpc/session.cpp
+++ b/src/grpc/session.cpp
@@ -309,6 +309,15 @@
   flush();
 }
 
+void Session::on_drained() {
+  for (auto& [id, stream] : streams_)
+    if (!server_ && stream.events && !stream.told_written && sent(stream)) {
+      stream.told_written = true;
+      stream.events->written();
+    }
+  flush();
+}
+
 void Session::on_readable() {
   evbuffer* input = connection_->input();
   while (!closed_ && evbuffer_get_length(input) > 0) {
--- a/src/grpc/session.h
+++ b/src/grpc/session.h
@@ -21,6 +21,7 @@
   virtual ~StreamEvents() = default;
   virtual void headers(const Headers& headers) = 0;  // of an answer, and its trailers
   virtual void data(std::string_view piece) = 0;
+  virtual void written() {}  // all that a client had to send has gone to the kernel
   virtual void half_closed() {}  // the peer has sent all it had
   virtual void drained() {}      // little of what was written still waits
   // The stream is over, and the last that is heard of it. `code` is the error of HTTP/2 (0 = none) or
@@ -73,6 +74,7 @@
     std::size_t out_offset = 0, out_size = 0, unconsumed = 0;
     Headers trailers;
     bool responded = false, ended = false, held_back = false, parked = false, full = false;
+    bool told_written = false;
     std::uint64_t sent_at = 0;  // count of bytes written when the last of it went out; 0 = not yet
   };
   struct Free {
@@ -83,7 +85,7 @@
   void flush_soon();
   void on_connected() override;
   void on_readable() override;
-  void on_drained() override { flush(); }
+  void on_drained() override;
   void on_closed() override { close(); }
   void frame_received(const nghttp2_frame& frame);
   void stream_closed(std::int32_t id, std::uint32_t code);
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -15,7 +15,7 @@
     exchange_ = &exchange;
     listener_ = &listener;
     exchange.connection_ = this;
-    has_head_ = false;
+    has_head_ = written_ = false;
     if (!connected_) timer_.start(connection_.started() ? owner_.limits_.connect_timeout : microseconds(0));
     else timer_.stop();
     if (!connection_.started()) return;
@@ -37,6 +37,10 @@
     connected_ = true;
     timer_.stop();
   }
+  // Once an exchange: all of it was handed to the connection at its start.
+  void on_drained() override {
+    if (exchange_ && !std::exchange(written_, true)) listener_->written();
+  }
   // Connecting took too long, or the head of an answer, or it was idle long enough.
   void on_timer() { end(connected_ && exchange_ ? Ending::malformed : Ending::not_sent); }
 
@@ -114,7 +118,7 @@
   net::Timer timer_;
   Exchange* exchange_ = nullptr;
   Listener* listener_ = nullptr;
-  bool connected_ = false, has_head_ = false, closes_ = false;
+  bool connected_ = false, has_head_ = false, closes_ = false, written_ = false;
   std::size_t scanned_ = 0;
   Body body_;
   net::Connection connection_;
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -26,6 +26,7 @@
 class Listener {
  public:
   virtual ~Listener() = default;
+  virtual void written() {}  // the last byte of the request has gone to the kernel
   virtual void head(const Head& head) = 0;
   virtual void body(std::string_view piece) = 0;
   virtual void ended(Ending how) = 0;
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -22,23 +22,6 @@
   return error == std::errc() && end == text.data() + text.size() && value >= 0 && value <= most;
 }
 
-const char* reason(int status) {
-  switch (status) {
-    case 200: return "OK";
-    case 400: return "Bad Request";
-    case 404: return "Not Found";
-    case 405: return "Method Not Allowed";
-    case 408: return "Request Timeout";
-    case 413: return "Content Too Large";
-    case 429: return "Too Many Requests";
-    case 431: return "Request Header Fields Too Large";
-    case 502: return "Bad Gateway";
-    case 503: return "Service Unavailable";
-    case 504: return "Gateway Timeout";
-  }
-  return "Error";
-}
-
 }  // namespace
 
 class ClientConnection : net::Connection::Handler, public net::Admission::Guest, public lemonroute::Client {
@@ -229,12 +212,10 @@
 
   void answer(int status, std::string_view field = {}) {
     const bool closes = ends_connection();
-    std::ostringstream text;
-    const std::string body = std::string(reason(status)) + "\n";
-    text << "HTTP/1.1 " << status << ' ' << reason(status) << "\r\nContent-Type: text/plain\r\nContent-Length: "
-         << body.size() << "\r\n" << field << (closes ? "Connection: close\r\n" : "")
-         << (status == 405 ? "Allow: POST\r\n" : "") << "\r\n" << body;
-    connection_.write(text.str());
+    std::string fields(field);
+    if (closes) fields += "Connection: close\r\n";
+    if (status == 405) fields += "Allow: POST\r\n";
+    connection_.write(whole_answer(status, fields));
     complete(closes);
   }
   void answer_and_close(int status) {
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <sstream>
 
 namespace lemonroute::http {
 namespace {
@@ -75,8 +76,35 @@
   return result;
 }
 
+const char* reason(int status) {
+  switch (status) {
+    case 200: return "OK";
+    case 400: return "Bad Request";
+    case 404: return "Not Found";
+    case 405: return "Method Not Allowed";
+    case 408: return "Request Timeout";
+    case 413: return "Content Too Large";
+    case 429: return "Too Many Requests";
+    case 431: return "Request Header Fields Too Large";
+    case 502: return "Bad Gateway";
+    case 503: return "Service Unavailable";
+    case 504: return "Gateway Timeout";
+  }
+  return "Error";
+}
+
 }  // namespace
 
+std::string whole_answer(int status, std::string_view fields, std::string_view body) {
+  const std::string plain = std::string(reason(status)) + "\n";
+  if (body.empty()) body = plain;
+  std::ostringstream text;
+  text << "HTTP/1.1 " << status << ' ' << reason(status) << "\r\nContent-Length: " << body.size() << "\r\n" << fields;
+  if (fields.find("Content-Type:") == std::string_view::npos) text << "Content-Type: text/plain\r\n";
+  text << "\r\n" << body;
+  return text.str();
+}
+
 bool same_name(std::string_view a, std::string_view b) {
   return a.size() == b.size() &&
          std::equal(a.begin(), a.end(), b.begin(), [](char x, char y) { return lower(x) == lower(y); });
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -85,4 +85,7 @@
   Fault fault_ = Fault::none;
 };
 
+// An answer with its body, which without one says what the status means. `fields` end in \r\n each.
+std::string whole_answer(int status, std::string_view fields, std::string_view body = {});
+
 }  // namespace lemonroute::http
--- a/src/http/node_client.cpp
+++ b/src/http/node_client.cpp
@@ -56,6 +56,7 @@
   void hold_back(bool on) override { exchange_->hold_back(on); }
 
  private:
+  void written() override { attempt_.written(); }
   void head(const Head& head) override {
     status_ = head.status;
     result_.load = head.field("Srv-Load");
--- /dev/null
+++ b/src/ops/management.h
@@ -0,0 +1,50 @@
+// The operators' door: HTTP/1.1 on an address of its own, one call a connection.
+#pragma once
+
+#include <functional>
+#include <list>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "http/message.h"
+#include "net/connection.h"
+#include "ops/status.h"
+
+namespace lemonroute::ops {
+
+// The configuration files taken and turned down at SIGHUP.
+struct Reloads {
+  std::uint64_t loaded = 0, invalid = 0;
+};
+
+class Management {
+ public:
+  // Answers to calls are made at the moment of the call; `reloads` tells what was counted of files.
+  Management(net::Loop& loop, const std::string& listen, Conductor& conductor, const Status& status,
+             std::function<Reloads()> reloads);
+  ~Management();
+  std::uint16_t port() const { return listener_->port(); }
+
+  static constexpr std::size_t most_callers = 16;
+
+ private:
+  class Caller;
+  struct Answer {
+    int status = 200;
+    std::string body, fields;
+  };
+  Answer answer(const http::Head& head);
+  Answer metrics() const;
+  void accept(evutil_socket_t fd);
+  void leave(Caller& caller);
+
+  net::Loop& loop_;
+  Conductor& conductor_;
+  const Status& status_;
+  std::function<Reloads()> reloads_;
+  std::list<std::unique_ptr<Caller>> callers_;  // the longest there in front
+  std::unique_ptr<net::Listener> listener_;
+};
+
+}  // namespace lemonroute::ops
--- a/tests/net/scenario.cpp
+++ b/tests/net/scenario.cpp
@@ -12,8 +12,10 @@
 //   c1 close                       the client goes; a node breaks the attempt off
 //   r* expect run q1               whichever of r.. it is
 //   r1 expect nothing              all is quiet
-//   c1 send nothing                connects and stays silent
+//   c1 send nothing 5              connects, so many times, and stays silent
 //   front limit 2                  the fronts have so many places
+//   m1 send call GET /ready        a caller at the management listener, one call a connection; sees status 200
+//   m1 send bytes TEXT             as raw, each byte on its own
 //   core wait 2s                   moves the core's clock on
 //   list send leaving r1           tells the core of a change; with peer d, discovery itself answers in raw
 //   c1 send raw TEXT               bytes as they are: \r \n, and $r1 is a node's address; {N} repeats
@@ -32,6 +34,7 @@
 #include "grpc/node_client.h"
 #include "http/front.h"
 #include "http/node_client.h"
+#include "ops/management.h"
 #include "proto/lemonroute.pb.h"
 
 namespace {
@@ -67,8 +70,20 @@
   HttpClient(net::Loop& loop, string address) : loop_(loop), address_(std::move(address)) {}
   void send(const Words& words) override {
     if (!connection_) connection_.reset(new net::Connection(loop_, net::Endpoint(address_), *this));
+    for (int more = words[0] == "nothing" && words.size() > 1 ? std::stoi(words[1]) - 1 : 0; more > 0; --more) {
+      more_.push_back(std::make_unique<HttpClient>(loop_, address_));
+      more_.back()->send({"nothing"});
+    }
     if (words[0] == "nothing") return;
     if (words[0] == "raw") return connection_->write(string_view_of(words[1]));
+    if (words[0] == "call") return connection_->write(join(words, 1) + " HTTP/1.1\r\nHost: m\r\n\r\n");
+    if (words[0] == "bytes") {
+      for (const char& c : words[1]) {
+        connection_->write({&c, 1});
+        for (int i = 0; i < 3; ++i) event_base_loop(loop_.base(), EVLOOP_NONBLOCK);
+      }
+      return;
+    }
     const string body = "{\"messages\":[]}";
     connection_->write("POST /v1/chat/completions HTTP/1.1\r\nReq-Id: " + words[1] + "\r\nReq-Kind: " +
                        (words.size() > 3 ? words[3] : "estratto") + "\r\nReq-Deadline: " +
@@ -132,6 +147,7 @@
   net::Loop& loop_;
   string address_, text_;
   bool in_stream_ = false;
+  std::vector<std::unique_ptr<HttpClient>> more_;
   std::unique_ptr<net::Connection> connection_;
 };
 
@@ -362,9 +378,6 @@
 class Scenario {
  public:
   Scenario(bool grpc_clients, bool grpc_nodes) : grpc_clients_(grpc_clients), grpc_nodes_(grpc_nodes) {
-    if (grpc_nodes) nodes_ = std::make_unique<grpc::NodeClient>(loop_, grpc::Session::Limits{});
-    else nodes_ = std::make_unique<http::NodeClient>(loop_, http::ClientLimits{});
-    core_ = std::make_unique<Conductor>(settings(), Words{"a"}, Words{"lettura", "scrittura"}, 1, clock_, *nodes_);
     grpc_front_ = std::make_unique<grpc::Front>(*core_);
     serve(8);
   }
@@ -390,8 +403,8 @@
     Peer& to = peer(words[0], true);
     if (verb == "close") return to.close();
     assert(verb == "send");
-    if (rest[0] != "raw") return to.send(rest);
-    to.send({"raw", unescape(text.substr(text.find(" raw ") + 5))});
+    if (rest[0] != "raw" && rest[0] != "bytes") return to.send(rest);
+    to.send({rest[0], unescape(text.substr(text.find(" " + rest[0] + " ") + rest[0].size() + 2))});
   }
   void finish() {
     settle();
@@ -442,6 +455,7 @@
       grpc_server_->stop_accepting();
     } else {
       front_->drain();
+      status_.drain();
     }
   }
   void wait(const string& text) {
@@ -468,7 +482,8 @@
         if (other[0] == name[0]) return *one;
     }
     auto& one = peers_[name];
-    if (!one && grpc_clients_) one = std::make_unique<GrpcClient>(loop_, local(grpc_server_->port()));
+    if (!one && name[0] == 'm') one = std::make_unique<HttpClient>(loop_, local(management_.port()));
+    else if (!one && grpc_clients_) one = std::make_unique<GrpcClient>(loop_, local(grpc_server_->port()));
     else if (!one) one = std::make_unique<HttpClient>(loop_, local(front_->port()));
     return *one;
   }
@@ -530,8 +545,14 @@
   std::uint32_t version_ = 1;
   net::Loop loop_;
   ManualClock clock_;
-  std::unique_ptr<Nodes> nodes_;
-  std::unique_ptr<Conductor> core_;
+  std::unique_ptr<Nodes> make_nodes() {
+    if (grpc_nodes_) return std::make_unique<grpc::NodeClient>(loop_, grpc::Session::Limits{});
+    return std::make_unique<http::NodeClient>(loop_, http::ClientLimits{});
+  }
+  std::unique_ptr<Nodes> nodes_ = make_nodes();
+  std::unique_ptr<Conductor> core_ = std::make_unique<Conductor>(settings(), Words{"a"}, Words{"lettura", "scrittura"}, 1, clock_, *nodes_);
+  ops::Status status_{*core_};
+  ops::Management management_{loop_, "127.0.0.1:0", *core_, status_, [] { return ops::Reloads{}; }};
   std::unique_ptr<http::Front> front_;
   std::unique_ptr<grpc::Front> grpc_front_;
   std::unique_ptr<grpc::Server> grpc_server_;
--- a/tests/net/tools_test.cpp
+++ b/tests/net/tools_test.cpp
@@ -201,6 +201,7 @@
 }
 
 struct Note : Attempt {
+  void written() override {}
   void event(std::string_view) override {}
   void done(Result ended) override { result = ended, over = true; }
   Result result;
