--- a/src/core/conductor.cpp
+++ b/src/core/conductor.cpp
@@ -50,7 +50,7 @@
 struct Conductor::Try : Attempt {
   Try(Conductor& owner, RequestId of, std::uint16_t number, const Node& at, Role role, Micros now)
       : conductor(owner), request(of), number(number), host(at.id), node(at.name), role(role), sent(now) {}
-  void written() override { conductor.written(*this); }
+  void written() override { ++conductor.sends_; }
   void event(std::string_view data) override { conductor.event(*this, data); }
   void done(Result result) override { conductor.done(*this, std::move(result)); }
 
@@ -146,7 +146,7 @@
 }
 
 Figures Conductor::figures() const {
-  Figures figures{counts_.all(), open_, known_.size(), 0};
+  Figures figures{counts_.all(), sends_, open_, known_.size(), 0};
   const auto avoided = scheduler_.avoided(clock_.now());
   for (const auto& [id, node] : known_)
     if (std::find(avoided.begin(), avoided.end(), id) != avoided.end()) ++figures.unhealthy;
@@ -352,8 +352,6 @@
 
 // ---- Attempts ---------------------------------------------------------------------------------------------
 
-void Conductor::written(Try& attempt) { ++find(attempt.request)->counts->sends; }
-
 void Conductor::event(Try& attempt, std::string_view data) {
   Entry& entry = *find(attempt.request);
   watch_silence(attempt);
--- a/src/core/conductor.h
+++ b/src/core/conductor.h
@@ -73,7 +73,6 @@
   void act(const Subscribe&) {}  // the watch is always on here
   void act(const Snapshot&) {}
 
-  void written(Try& attempt);
   void event(Try& attempt, std::string_view data);
   void done(Try& attempt, Result result);
   void watch_silence(Try& attempt);
@@ -101,6 +100,7 @@
   std::map<std::uint64_t, std::unique_ptr<Call>> probes_;
   std::uint64_t next_probe_ = 0;
   CountsByClass counts_;
+  std::uint64_t sends_ = 0;
   std::size_t open_ = 0;
   std::deque<Event> events_;
   std::vector<RequestId> touched_;
--- a/src/core/figures.h
+++ b/src/core/figures.h
@@ -15,12 +15,12 @@
 
 struct Counts {
   std::uint64_t answered = 0, deferred = 0, errored = 0;  // requests served, refused, failed
-  std::uint64_t sends = 0;                                // attempts written whole to nodes
 };
 
 // What is true of the whole at one moment.
 struct Figures {
   std::map<std::string, Counts> classes;
+  std::uint64_t sends = 0;    // attempts written whole to nodes
   std::size_t current = 0;    // requests taken and not ended
   std::size_t listed = 0;     // nodes in the list
   std::size_t unhealthy = 0;  // of them, those avoided: by hand, or by the module's choice
--- a/src/ops/management.cpp
+++ b/src/ops/management.cpp
@@ -112,11 +112,10 @@
   const Reloads reloads = reloads_();
   auto transactions = nlohmann::json::object();
   for (const auto& [name, counts] : figures.classes)
-    transactions[name] = {{"answered", counts.answered},
-                          {"deferred", counts.deferred},
-                          {"errored", counts.errored},
-                          {"sends", counts.sends}};
+    transactions[name] = {
+        {"answered", counts.answered}, {"deferred", counts.deferred}, {"errored", counts.errored}};
   const nlohmann::json all{{"transactions", transactions},
+                           {"sends", figures.sends},
                            {"current", figures.current},
                            {"cluster_size", figures.listed},
                            {"cluster_unhealthy", figures.unhealthy},
