Bans by hand, kept for both processes, and a start beside a running process

The listening socket is now inherited (checked, never shut down); bans live in the core and a shared file.

--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -4,6 +4,7 @@
 
 #include <csignal>
 #include <cstdlib>
+#include <filesystem>
 
 #include "base/log.h"
 #include "discovery/watch.h"
@@ -14,6 +15,7 @@
 #include "ops/agent_check.h"
 #include "ops/health_service.h"
 #include "ops/management.h"
+#include "ops/processes.h"
 
 namespace lemonroute::cli {
 namespace {
@@ -23,6 +25,8 @@
 // After SIGTERM new connections keep arriving for up to 0.4 s, and may find their first bytes late.
 constexpr milliseconds arrival_window{600};
 constexpr milliseconds end_poll{20};
+// A node taken out at the other process must get nothing from here half a second after the yes.
+constexpr milliseconds look_again{100};
 
 // Descriptors: some for the program itself and for management callers; of the rest two fifths for clients, as
 // many for the calls made for them, an eighth for idle connections.
@@ -31,15 +35,18 @@
   return platform.sockets - std::min(own_descriptors, platform.sockets / 2);
 }
 
+std::size_t front_places(const config::Platform& platform) { return shared_descriptors(platform) * 2 / 5; }
+std::size_t idle_nodes(const config::Platform& platform) { return shared_descriptors(platform) / 8; }
+
 std::unique_ptr<Nodes> make_nodes(net::Loop& loop, const config::Platform& platform, bool grpc) {
   if (grpc) return std::make_unique<grpc::NodeClient>(loop, grpc::Session::Limits{platform.settings.connect_timeout});
   // Nodes close what has been idle for the platform's time; a request written to it then is lost.
   return std::make_unique<http::NodeClient>(
-      loop, http::ClientLimits{platform.settings.connect_timeout, platform.connection_idle * 6 / 10, shared_descriptors(platform) / 8});
+      loop, http::ClientLimits{platform.settings.connect_timeout, platform.connection_idle * 6 / 10, idle_nodes(platform)});
 }
 
 http::Front::Options front_options(const config::Platform& platform, const config::Operator& settings) {
-  http::Front::Options options{{platform.listen}, shared_descriptors(platform) * 2 / 5};
+  http::Front::Options options{{platform.listen}, platform.socket, front_places(platform)};
   options.listen.insert(options.listen.end(), settings.http_listen.begin(), settings.http_listen.end());
   return options;
 }
@@ -47,7 +54,9 @@
 class Program {
  public:
   Program(const config::Platform& platform, const config::Operator& settings)
-      : nodes_(make_nodes(loop_, platform, settings.grpc_nodes)),
+      : platform_(platform),
+        processes_(std::filesystem::temp_directory_path(), platform.name),
+        nodes_(make_nodes(loop_, platform, settings.grpc_nodes)),
         conductor_(platform.settings, platform.zones, platform.kinds, platform.seed, clock_, *nodes_),
         status_(conductor_),
         front_(loop_, conductor_, front_options(platform, settings)),
@@ -55,6 +64,7 @@
         due_(loop_, [this] { conductor_.run_due(); }),
         window_(loop_, [this] { stop_accepting(); }),
         ended_(loop_, [this] { poll_end(); }),
+        look_(loop_, [this] { look(); }),
         term_(loop_, SIGTERM, [this] { drain("SIGTERM"); }),
         interrupt_(loop_, SIGINT, [this] { drain("SIGINT"); }),
         hang_up_(loop_, SIGHUP, [this] { reload(); }) {
@@ -63,7 +73,7 @@
       logging::info() << "gRPC on " << settings.grpc_listen;
     }
     if (!settings.agent_check_listen.empty()) {
-      agent_ = std::make_unique<ops::AgentCheck>(loop_, settings.agent_check_listen, status_);
+      agent_ = std::make_unique<ops::AgentCheck>(loop_, settings.agent_check_listen, status_, platform.socket.has_value());
       logging::info() << "agent-check on " << settings.agent_check_listen;
     }
     if (!platform.management.empty()) {
@@ -73,7 +83,10 @@
     }
     conductor_.on_change = [this] { changed(); };
     conductor_.update(ListKind::cached, platform.known.version, platform.known.nodes);
+    conductor_.keep_bans(processes_.file(".bans"), processes_.lock());
     watch_.start();
+    look();
+    processes_.serves(true);
   }
   ~Program() { conductor_.on_change = nullptr; }  // the timer goes before the conductor does
   Program(const Program&) = delete;
@@ -85,13 +98,16 @@
     Grpc(Program& program, const config::Operator& settings)
         : front(program.conductor_),
           health(program.status_),
-          server(program.loop_, settings.grpc_listen, static_cast<std::size_t>(settings.grpc_connections)) {
+          server(program.loop_, settings.grpc_listen, static_cast<std::size_t>(settings.grpc_connections),
+                 program.platform_.socket.has_value()),
+          places(static_cast<std::size_t>(settings.grpc_connections)) {
       server.add(front);
       server.add(health);
     }
     grpc::Front front;
     ops::HealthService health;
     grpc::Server server;
+    std::size_t places;
   };
 
   void changed() {
@@ -104,11 +120,36 @@
   void drain(const char* signal) {
     if (draining_) return;
     draining_ = true;
-    logging::info() << signal << ": draining, " << conductor_.open() << " requests open";
-    front_.drain();
+    processes_.serves(false);
+    const bool successor = processes_.another_serves();
+    logging::info() << signal << ": draining, " << conductor_.open() << " requests open"
+                    << (successor ? ", another process takes the clients" : "");
+    if (successor) hand_over();
+    else front_.drain();
     status_.drain();
     window_.start(arrival_window);
   }
+  // Whoever asks about this address from now on asks the other process, which is well.
+  void hand_over() {
+    front_.hand_over();
+    if (grpc_) grpc_->server.stop_accepting();
+    agent_.reset();
+  }
+  // What the other process of this conductor, if there is one, has changed. Both together must stay within the
+  // limits of one, so each has half of the places while two run.
+  void look() {
+    conductor_.refresh_bans();
+    const bool shares = processes_.another_runs();
+    if (std::exchange(shares_, shares) != shares) {
+      logging::info() << (shares ? "another process of this conductor runs, places are halved"
+                                 : "no other process of this conductor runs");
+      const std::size_t parts = shares ? 2 : 1;
+      front_.limit(std::max<std::size_t>(2, front_places(platform_) / parts));
+      nodes_->limit_idle(idle_nodes(platform_) / parts);
+      if (grpc_) grpc_->server.limit(std::max<std::size_t>(2, grpc_->places / parts));
+    }
+    look_.start(look_again);
+  }
   // Takes the discovery address of the replaced file; the rest of it holds from the next start on. With a
   // file that can't be read the program goes on as it was: a slip there must not end what serves.
   void reload() {
@@ -136,6 +177,8 @@
     ended_.start(end_poll);
   }
 
+  const config::Platform platform_;
+  ops::Processes processes_;
   SystemClock clock_;
   net::Loop loop_;
   std::unique_ptr<Nodes> nodes_;
@@ -143,13 +186,13 @@
   ops::Status status_;
   http::Front front_;
   discovery::Watch watch_;
-  net::Timer due_, window_, ended_;
+  net::Timer due_, window_, ended_, look_;
   net::Signal term_, interrupt_, hang_up_;
   std::unique_ptr<Grpc> grpc_;
   std::unique_ptr<ops::AgentCheck> agent_;
   ops::Reloads reloads_;
   std::unique_ptr<ops::Management> management_;
-  bool draining_ = false;
+  bool draining_ = false, shares_ = false;
 };
 
 }  // namespace
--- a/src/config/platform.cpp
+++ b/src/config/platform.cpp
@@ -130,6 +130,13 @@
     if (const char* value = variable(name)) *field = value;
   check_address("listen", platform.listen);
   check_address("discovery", platform.discovery);
+  if (const char* text = variable("BALANCER_SOCKET_FD"); text && *text) {
+    const char* const end = text + std::char_traits<char>::length(text);
+    int fd = -1;
+    if (const auto [stop, error] = std::from_chars(text, end, fd); error != std::errc() || stop != end || fd < 0)
+      throw ConfigError("BALANCER_SOCKET_FD: '" + std::string(text) + "' is not a descriptor");
+    platform.socket = fd;
+  }
   if (!platform.management.empty()) check_address("mgmt", platform.management);
   return platform;
 }
--- a/src/config/platform.h
+++ b/src/config/platform.h
@@ -1,6 +1,7 @@
 // What the platform tells a conductor at its start.
 #pragma once
 
+#include <optional>
 #include <stdexcept>
 #include <string>
 #include <vector>
@@ -17,6 +18,7 @@
 struct Platform {
   std::string name, listen, discovery;
   std::string management;  // empty: off
+  std::optional<int> socket;  // the inherited one that listens on `listen` already
   std::uint64_t seed = 0;
   std::size_t sockets = 1024;
   Settings settings;
--- a/src/core/conductor.cpp
+++ b/src/core/conductor.cpp
@@ -18,6 +18,8 @@
 constexpr Micros release_answer = milliseconds(250);  // a node that is reached has answered by then
 constexpr Micros release_for = seconds(4);  // the node has certainly dropped it itself, or died, by then
 
+constexpr std::size_t most_left = 1024;  // names of gone nodes that operators may still speak of
+
 constexpr RequestId request_bits = (RequestId(1) << 52) - 1;
 
 const char* word(Outcome outcome) {
@@ -110,8 +112,9 @@
     const auto found = std::find(names.begin(), names.end(), name);
     return static_cast<std::uint8_t>(std::min<std::ptrdiff_t>(found - names.begin(), 255));
   };
+  version_ = version;
   if (kind != ListKind::delta)
-    for (auto& [id, node] : known_) node.entry.phase = Phase::gone;
+    for (auto& [id, node] : known_) node.entry.phase = node.listed = Phase::gone;
   for (const auto& item : listed) {
     const HostId id = id_of(item.name);
     Node& node = known_[id];
@@ -120,18 +123,73 @@
     if (!item.address.empty()) node.address = item.address;
     node.entry = {id,        index(zones_, item.zone), index(kinds_, item.kind), item.cell, item.phase,
                   item.weight, item.started};
+    node.listed = item.phase;
+    node.listed_start = item.started;
+    lay_over(node);
     list.hosts.push_back(node.entry);
     // The module's own lines name nodes by these numbers.
-    logging::info() << "node " << item.name << " is host " << id << ", " << word(item.phase);
+    logging::info() << "node " << item.name << " is host " << id << ", " << word(item.phase)
+                    << (bans_.out(item.name) ? ", out by hand" : "");
   }
   logging::info() << "list " << version << (kind == ListKind::delta ? ": changes for " : ": whole, ")
                   << listed.size() << " nodes, " << ready_nodes() << " ready";
   // Guards the memory of a conductor that outlives its nodes many times over: a node that has gone is
   // forgotten. What is still under way there knows its name.
-  std::erase_if(known_, [](const auto& node) { return node.second.entry.phase == Phase::gone; });
+  std::erase_if(known_, [this](const auto& node) {
+    const bool gone = node.second.entry.phase == Phase::gone;
+    if (gone && std::find(left_.begin(), left_.end(), node.second.name) == left_.end())
+      left_.push_back(node.second.name);
+    return gone;
+  });
+  while (left_.size() > most_left) left_.pop_front();
   put(std::move(list));
 }
 
+// ---- What operators order -----------------------------------------------------------------------------------
+
+Conductor::Ordered Conductor::take_out(const std::string& node) { return order(node, true); }
+Conductor::Ordered Conductor::put_back(const std::string& node) { return order(node, false); }
+
+Conductor::Ordered Conductor::order(const std::string& node, bool out) {
+  const bool listed = std::any_of(known_.begin(), known_.end(), [&](auto& one) { return one.second.name == node; });
+  if (!listed && !bans_.out(node) && std::find(left_.begin(), left_.end(), node) == left_.end())
+    return Ordered::never_listed;
+  if (!bans_.change(node, out, clock_.now())) return Ordered::not_stored;
+  logging::info() << "node " << node << (out ? " is out by hand" : " may serve again");
+  bans_changed();
+  return Ordered::done;
+}
+
+void Conductor::keep_bans(std::string path, LockFile& lock) {
+  bans_.keep_in(std::move(path), lock);
+  bans_changed();
+}
+
+void Conductor::refresh_bans() {
+  if (!bans_.refresh()) return;
+  logging::info() << "nodes were taken out or put back at the other process of this conductor";
+  bans_changed();
+}
+
+// The Scheduler sees a node that drains, and one that has just started when it is put back: it may have been
+// restarted meanwhile, and discovery tells of that seconds late.
+bool Conductor::lay_over(Node& node) const {
+  const bool out = bans_.out(node.name);
+  const Phase phase = out && node.listed == Phase::ready ? Phase::draining : node.listed;
+  const Micros started = std::max(node.listed_start, bans_.back(node.name).value_or(Micros(0)));
+  if (node.entry.phase == phase && node.entry.started == started) return false;
+  node.entry.phase = phase;
+  node.entry.started = started;
+  return true;
+}
+
+void Conductor::bans_changed() {
+  HostList list{ListKind::delta, version_, {}};
+  for (auto& [id, node] : known_)
+    if (lay_over(node)) list.hosts.push_back(node.entry);
+  if (!list.hosts.empty()) put(std::move(list));
+}
+
 HostId Conductor::id_of(const std::string& name) const {
   for (const auto& [id, node] : known_)
     if (node.name == name) return id;
@@ -149,7 +207,7 @@
   Figures figures{counts_.all(), sends_, open_, known_.size(), 0};
   const auto avoided = scheduler_.avoided(clock_.now());
   for (const auto& [id, node] : known_)
-    if (std::find(avoided.begin(), avoided.end(), id) != avoided.end()) ++figures.unhealthy;
+    if (bans_.out(node.name) || std::find(avoided.begin(), avoided.end(), id) != avoided.end()) ++figures.unhealthy;
   return figures;
 }
 
--- a/src/core/conductor.h
+++ b/src/core/conductor.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <unordered_map>
 
+#include "core/bans.h"
 #include "core/figures.h"
 #include "core/timers.h"
 #include "core/types.h"
@@ -33,6 +34,14 @@
   };
   void update(ListKind kind, std::uint32_t version, const std::vector<Listed>& listed);
 
+  // ---- for operators ----
+  enum class Ordered { done, never_listed, not_stored };
+  Ordered take_out(const std::string& node);  // no new work to it, whatever discovery lists, until it is put back
+  Ordered put_back(const std::string& node);
+  void keep_bans(std::string path, LockFile& lock);  // takes those that are there
+  void refresh_bans();                               // takes what another process of this conductor has changed
+  Figures figures() const;
+
   // ---- for fronts ----
   enum class Taken { yes, unknown_kind, duplicate };
   // Takes a request; its one answer goes to `client`. Unless it says yes, nothing was taken.
@@ -49,7 +58,6 @@
   std::size_t known() const { return known_.size(); }
   bool idle() const { return requests_.empty() && releases_.empty(); }
   std::size_t ready_nodes() const;
-  Figures figures() const;
 
  private:
   struct Try;
@@ -83,6 +91,9 @@
   void start_release(Entry& entry, HostId holder);
   void try_release(Released& released);
   void drop_release(Released& released);
+  Ordered order(const std::string& node, bool out);
+  bool lay_over(Node& node) const;
+  void bans_changed();
   HostId id_of(const std::string& name) const;  // the one it has, or one that is free
   Role role(HostId id) const;
   Entry* find(RequestId id);
@@ -94,6 +105,9 @@
   Scheduler scheduler_;
   Timers timers_;
   std::map<HostId, Node> known_;
+  std::uint32_t version_ = 0;  // of the last list
+  Bans bans_;
+  std::deque<std::string> left_;  // names of nodes that have gone, the last one at the back
   std::unordered_map<RequestId, std::unique_ptr<Entry>> requests_;
   std::unordered_map<std::string, RequestId> by_name_;
   std::list<Released> releases_;
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -77,7 +77,9 @@
 struct Node {
   HostId id = 0;
   std::string name, address;
-  ListEntry entry;
+  ListEntry entry;  // as the Scheduler sees it: with what was said by hand laid over what is listed
+  Phase listed = Phase::ready;
+  Micros listed_start{};
   bool ready() const { return entry.phase == Phase::ready; }
 };
 
@@ -115,6 +117,7 @@
                                         std::function<void(bool)> done) = 0;
   virtual std::unique_ptr<Call> probe(const Node& node, std::function<void(const Result&)> done) = 0;
   virtual void hang_up(const Node& node) = 0;  // closes the idle connections
+  virtual void limit_idle(std::size_t) {}      // most idle connections, from now on
 };
 
 }  // namespace lemonroute
--- a/src/grpc/server.cpp
+++ b/src/grpc/server.cpp
@@ -45,7 +45,7 @@
   on_over_();
 }
 
-Server::Server(net::Loop& loop, const std::string& listen, std::size_t most_connections)
+Server::Server(net::Loop& loop, const std::string& listen, std::size_t most_connections, bool shared)
     : loop_(loop), admission_(loop, most_connections, [this](bool on) {
         if (listener_) listener_->pause(on);
       }) {
@@ -55,7 +55,7 @@
     made.session.reset(new Session(loop_, fd, *this, Session::Limits{}));
     visits_[made.session.get()] = std::move(visit);
     admission_.arrived(made);
-  });
+  }, shared);
 }
 
 Server::~Server() {
@@ -101,6 +101,7 @@
 }
 
 void Server::stop_accepting() {
+  if (listener_) listener_->take_waiting();
   listener_.reset();
   for (const auto& [session, visit] : visits_) session->go_away();
 }
--- a/src/grpc/server.h
+++ b/src/grpc/server.h
@@ -53,10 +53,12 @@
 
 class Server : SessionOwner {
  public:
-  Server(net::Loop& loop, const std::string& listen, std::size_t most_connections);
+  // `shared`: another process may listen there as well.
+  Server(net::Loop& loop, const std::string& listen, std::size_t most_connections, bool shared = false);
   ~Server() override;
   void add(Service& service) { services_.push_back(&service); }
   std::uint16_t port() const { return listener_->port(); }
+  void limit(std::size_t connections) { admission_.limit(connections); }
   void stop_accepting();  // calls that are open go on
   bool idle() const { return visits_.empty(); }
 
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -63,6 +63,7 @@
   std::unique_ptr<Exchange> start(const std::string& address, std::string_view head,
                                   std::shared_ptr<const std::string> body, Listener& listener);
   void hang_up(const std::string& address);
+  void limit_idle(std::size_t most) { limits_.idle_most = most; }
 
  private:
   friend class PooledConnection;
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -34,9 +34,9 @@
   ~ClientConnection() override {
     if (state_ == State::waiting || state_ == State::streaming) front_.conductor_.gone(id_);
   }
-  bool between_requests() {
-    return state_ == State::head && evbuffer_get_length(connection_.input()) == 0;
-  }
+  // Nothing of a request has come, not to the kernel either: what is on its way may still be read and answered.
+  bool between_requests() { return state_ == State::head && connection_.silent(); }
+  bool at_rest() { return asked_ && between_requests(); }
   void dismiss() override { close(); }
   void close() {
     const State was = std::exchange(state_, State::closed);
@@ -268,9 +268,12 @@
       conductor_(conductor),
       options_(std::move(options)),
       admission_(loop, options_.most_connections, [this](bool on) { pause(on); }) {
-  for (const auto& address : options_.listen)
-    listeners_.push_back(
-        std::make_unique<net::Listener>(loop, address, [this](evutil_socket_t fd) { accept(fd); }));
+  const net::Listener::Accepted accepted = [this](evutil_socket_t fd) { accept(fd); };
+  for (const auto& address : options_.listen) {
+    const bool given = options_.inherited && listeners_.empty();
+    listeners_.push_back(given ? std::make_unique<net::Listener>(loop, address, *options_.inherited, accepted)
+                               : std::make_unique<net::Listener>(loop, address, accepted, options_.inherited.has_value()));
+  }
 }
 Front::~Front() = default;
 
@@ -295,12 +298,25 @@
 
 void Front::drain() { draining_ = true; }
 
+// The first listener's backlog is the other process's as well. A connection that was taken and has not asked yet is
+// about to, and stays; so does one on which something has arrived.
+void Front::hand_over() {
+  draining_ = true;
+  for (std::size_t i = 1; i < listeners_.size(); ++i) listeners_[i]->take_waiting();
+  listeners_.clear();
+  close_if(&ClientConnection::at_rest);
+}
+
 void Front::stop_accepting() {
   listeners_.clear();
-  std::vector<ClientConnection*> resting;
+  close_if(&ClientConnection::between_requests);
+}
+
+void Front::close_if(bool (ClientConnection::*holds)()) {
+  std::vector<ClientConnection*> chosen;
   for (const auto& [connection, owned] : connections_)
-    if (connection->between_requests()) resting.push_back(connection);
-  for (auto* connection : resting) connection->close();
+    if ((connection->*holds)()) chosen.push_back(connection);
+  for (auto* connection : chosen) connection->close();
 }
 
 }  // namespace lemonroute::http
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -18,6 +19,7 @@
  public:
   struct Options {
     std::vector<std::string> listen;
+    std::optional<int> inherited;  // a socket that listens on the first of them already; the others are shared then
     std::size_t most_connections = 400;
     Micros idle{std::chrono::seconds(75)};       // between requests
     Micros asking{std::chrono::seconds(2)};      // for a request to come whole, the first from connecting on
@@ -27,7 +29,9 @@
   ~Front();
 
   std::uint16_t port() const { return listeners_.front()->port(); }
+  void limit(std::size_t connections) { admission_.limit(connections); }
   void drain();             // from now on connections end after their answer
+  void hand_over();         // another process takes the connections that come; those at rest are closed
   void stop_accepting();    // and connections between requests are closed
   bool idle() const { return connections_.empty(); }
 
@@ -36,6 +40,7 @@
   void accept(evutil_socket_t fd);
   void pause(bool on);
   void discard(ClientConnection& connection);
+  void close_if(bool (ClientConnection::*holds)());
 
   net::Loop& loop_;
   Conductor& conductor_;
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -105,6 +105,31 @@
   return text.str();
 }
 
+std::optional<std::string> query_value(std::string_view target, std::string_view name) {
+  const auto mark = target.find('?');
+  if (mark == std::string_view::npos) return std::nullopt;
+  std::string_view rest = target.substr(mark + 1);
+  std::optional<std::string> value;
+  while (!rest.empty()) {
+    const auto item = rest.substr(0, rest.find('&'));
+    rest.remove_prefix(std::min(rest.size(), item.size() + 1));
+    if (item.substr(0, item.find('=')) != name) continue;
+    if (value || item.size() == name.size()) return std::nullopt;
+    value.emplace();
+    for (std::size_t i = name.size() + 1; i < item.size(); ++i) {
+      if (item[i] != '%') {
+        *value += item[i] == '+' ? ' ' : item[i];
+        continue;
+      }
+      std::uint64_t byte = 0;
+      if (i + 2 >= item.size() || !parse_number(item.substr(i + 1, 2), 16, byte)) return std::nullopt;
+      *value += static_cast<char>(byte);
+      i += 2;
+    }
+  }
+  return value;
+}
+
 bool same_name(std::string_view a, std::string_view b) {
   return a.size() == b.size() &&
          std::equal(a.begin(), a.end(), b.begin(), [](char x, char y) { return lower(x) == lower(y); });
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -85,6 +85,9 @@
   Fault fault_ = Fault::none;
 };
 
+// The value of the one parameter `name` in a target's query, decoded; nothing if it is absent, twice there or odd.
+std::optional<std::string> query_value(std::string_view target, std::string_view name);
+
 // An answer with its body, which without one says what the status means. `fields` end in \r\n each.
 std::string whole_answer(int status, std::string_view fields, std::string_view body = {});
 
--- a/src/http/node_client.h
+++ b/src/http/node_client.h
@@ -15,6 +15,7 @@
                                 std::function<void(bool)> done) override;
   std::unique_ptr<Call> probe(const Node& node, std::function<void(const Result&)> done) override;
   void hang_up(const Node& node) override { client_.hang_up(node.address); }
+  void limit_idle(std::size_t most) override { client_.limit_idle(most); }
 
  private:
   Client client_;
--- a/src/net/admission.cpp
+++ b/src/net/admission.cpp
@@ -21,6 +21,13 @@
 Admission::Admission(Loop& loop, std::size_t most, std::function<void(bool)> pause)
     : most_(most), pause_(std::move(pause)), again_(loop, [this] { make_room(); }) {}
 
+void Admission::limit(std::size_t most) {
+  most_ = most;
+  if (present_ >= most_) return make_room();
+  again_.stop();
+  if (std::exchange(paused_, false)) pause_(false);
+}
+
 void Admission::arrived(Guest& guest) {
   ++present_;
   move(guest, &unproven_);
--- a/src/net/admission.h
+++ b/src/net/admission.h
@@ -27,6 +27,7 @@
   // `pause` stops and restarts the taking of connections.
   Admission(Loop& loop, std::size_t most, std::function<void(bool)> pause);
 
+  void limit(std::size_t most);  // from now on; those who are there stay until they may be dismissed
   void arrived(Guest& guest);  // and has not asked for anything yet
   void busy(Guest& guest);     // a request of it is open: it is not dismissed
   void at_rest(Guest& guest);  // between requests
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -94,18 +94,65 @@
   bufferevent_trigger(bev_.get(), EV_READ, static_cast<int>(BEV_OPT_DEFER_CALLBACKS) | BEV_TRIG_IGNORE_WATERMARKS);
 }
 
-Listener::Listener(Loop& loop, const std::string& address, std::function<void(evutil_socket_t)> accepted)
+namespace {
+
+// Guards against a number that names anything but the clients' socket: what arrived elsewhere would never be
+// taken, and the program would still look ready.
+void check_inherited(evutil_socket_t fd, const Endpoint& at, const std::string& address) {
+  const std::string socket = "the inherited socket, descriptor " + std::to_string(fd) + ", ";
+  int listens = 0;
+  socklen_t size = sizeof listens;
+  if (getsockopt(fd, SOL_SOCKET, SO_ACCEPTCONN, &listens, &size) != 0)
+    throw std::runtime_error(socket + "is none: " + std::strerror(errno));
+  if (!listens) throw std::runtime_error(socket + "does not listen");
+  sockaddr_storage bound{};
+  socklen_t length = sizeof bound;
+  getsockname(fd, reinterpret_cast<sockaddr*>(&bound), &length);
+  const auto* wanted = reinterpret_cast<const sockaddr_in*>(at.address());
+  const auto* wanted6 = reinterpret_cast<const sockaddr_in6*>(at.address());
+  const auto& is = reinterpret_cast<const sockaddr_in&>(bound);
+  const auto& is6 = reinterpret_cast<const sockaddr_in6&>(bound);
+  const bool same = bound.ss_family == AF_INET6
+                        ? wanted6->sin6_family == AF_INET6 && is6.sin6_port == wanted6->sin6_port &&
+                              std::memcmp(&is6.sin6_addr, &wanted6->sin6_addr, sizeof is6.sin6_addr) == 0
+                        : wanted->sin_family == bound.ss_family && is.sin_port == wanted->sin_port &&
+                              is.sin_addr.s_addr == wanted->sin_addr.s_addr;
+  if (!same) throw std::runtime_error(socket + "does not listen on " + address);
+}
+
+}  // namespace
+
+Listener::Listener(Loop& loop, const std::string& address, Accepted accepted, bool shared)
     : accepted_(std::move(accepted)), rest_(loop, [this] { pause(paused_); }) {
   const Endpoint at(address);
-  listener_.reset(evconnlistener_new_bind(
-      loop.base(),
-      [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* self) {
-        static_cast<Listener*>(self)->accepted_(fd);
-      },
-      this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE, 1024, at.address(),
-      at.length()));
+  const unsigned options = LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE |
+                           (shared ? static_cast<unsigned>(LEV_OPT_REUSEABLE_PORT) : 0u);
+  listener_.reset(
+      evconnlistener_new_bind(loop.base(), taken, this, options, 1024, at.address(), at.length()));
   if (!listener_)
     throw std::runtime_error("cannot listen on " + address + ": " + std::string(std::strerror(errno)));
+  made();
+}
+
+// Nothing is done to the socket that its other holders would feel. Not blocking is the one thing that they share
+// and that is needed: of two processes that wake for one connection, the second would hang in accept.
+Listener::Listener(Loop& loop, const std::string& address, evutil_socket_t inherited, Accepted accepted)
+    : accepted_(std::move(accepted)), rest_(loop, [this] { pause(paused_); }) {
+  check_inherited(inherited, Endpoint(address), address);
+  evutil_make_socket_nonblocking(inherited);
+  evutil_make_socket_closeonexec(inherited);
+  constexpr int listens_already = 0;
+  listener_.reset(
+      evconnlistener_new(loop.base(), taken, this, LEV_OPT_CLOSE_ON_FREE, listens_already, inherited));
+  if (!listener_) throw std::runtime_error("the inherited socket can't be used on " + address);
+  made();
+}
+
+void Listener::taken(evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* self) {
+  static_cast<Listener*>(self)->accepted_(fd);
+}
+
+void Listener::made() {
   evconnlistener_set_error_cb(listener_.get(), [](evconnlistener* listener, void* self) {
     // Guards against a full descriptor table: the waiting connection stays readable, and the loop would spin
     // on it without serving the requests whose end frees descriptors.
@@ -124,6 +171,15 @@
                                         : reinterpret_cast<sockaddr_in&>(at).sin_port);
 }
 
+void Listener::take_waiting() {
+  for (;;) {
+    const evutil_socket_t fd =
+        accept4(evconnlistener_get_fd(listener_.get()), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (fd < 0) return;
+    accepted_(fd);
+  }
+}
+
 void Listener::pause(bool on) {
   paused_ = on;
   if (on) evconnlistener_disable(listener_.get());
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -69,15 +69,22 @@
 // Takes connections and hands on their sockets. Out of descriptors it rests for a moment instead of spinning.
 class Listener {
  public:
-  Listener(Loop& loop, const std::string& address, std::function<void(evutil_socket_t)> accepted);
+  using Accepted = std::function<void(evutil_socket_t)>;
+  // `shared`: another process may listen there as well, and each gets a part of what arrives.
+  Listener(Loop& loop, const std::string& address, Accepted accepted, bool shared = false);
+  // A socket that somebody else holds too and that listens on `address`; throws if it is anything else.
+  Listener(Loop& loop, const std::string& address, evutil_socket_t inherited, Accepted accepted);
   std::uint16_t port() const;
+  void take_waiting();  // those that have arrived at this socket alone would be lost with it
   void pause(bool on);
 
  private:
   struct Free {
     void operator()(evconnlistener* listener) const { evconnlistener_free(listener); }
   };
-  std::function<void(evutil_socket_t)> accepted_;
+  static void taken(evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* self);
+  void made();
+  Accepted accepted_;
   Timer rest_;
   bool paused_ = false;
   std::unique_ptr<evconnlistener, Free> listener_;
--- a/src/ops/agent_check.cpp
+++ b/src/ops/agent_check.cpp
@@ -43,7 +43,7 @@
   net::Connection connection_;
 };
 
-AgentCheck::AgentCheck(net::Loop& loop, const std::string& listen, const Status& status)
+AgentCheck::AgentCheck(net::Loop& loop, const std::string& listen, const Status& status, bool shared)
     : loop_(loop), status_(status), listener_(loop, listen, [this](evutil_socket_t fd) {
         if (visitors_.size() >= most_visitors) {
           evutil_closesocket(fd);
@@ -51,7 +51,7 @@
         }
         auto visitor = std::make_unique<Visitor>(*this, fd);
         visitors_[visitor.get()] = std::move(visitor);
-      }) {}
+      }, shared) {}
 AgentCheck::~AgentCheck() = default;
 
 }  // namespace lemonroute::ops
--- a/src/ops/agent_check.h
+++ b/src/ops/agent_check.h
@@ -14,7 +14,8 @@
 
 class AgentCheck {
  public:
-  AgentCheck(net::Loop& loop, const std::string& listen, const Status& status);
+  // `shared`: another process may listen there as well.
+  AgentCheck(net::Loop& loop, const std::string& listen, const Status& status, bool shared = false);
   ~AgentCheck();
   std::uint16_t port() const { return listener_.port(); }
 
--- a/src/ops/management.cpp
+++ b/src/ops/management.cpp
@@ -101,10 +101,19 @@
 Management::Answer Management::answer(const http::Head& head) {
   const auto path = head.target.substr(0, head.target.find('?'));
   const bool reads = path == "/ready" || path == "/metrics";
-  if (!reads) return {404, {}, {}};
-  if (head.method != "GET") return {405, {}, "Allow: GET\r\n"};
+  const bool out = path == "/instances/disable", orders = out || path == "/instances/enable";
+  if (!reads && !orders) return {404, {}, {}};
+  if (head.method != (reads ? "GET" : "POST")) return {405, {}, reads ? "Allow: GET\r\n" : "Allow: POST\r\n"};
   if (path == "/metrics") return metrics();
-  return {status_.state() == State::draining ? 503 : 200, {}, {}};
+  if (path == "/ready") return {status_.state() == State::draining ? 503 : 200, {}, {}};
+  const auto name = http::query_value(head.target, "name");
+  if (!name || name->empty()) return {400, "name=ID is missing or can't be read\n", {}};
+  switch (out ? conductor_.take_out(*name) : conductor_.put_back(*name)) {
+    case Conductor::Ordered::done: return {200, *name + (out ? " is out\n" : " may serve\n"), {}};
+    case Conductor::Ordered::never_listed: return {404, *name + " was never listed\n", {}};
+    case Conductor::Ordered::not_stored: break;
+  }
+  return {503, "it can't be stored, nothing has changed\n", {}};
 }
 
 Management::Answer Management::metrics() const {
--- a/tests/net/core_test.cpp
+++ b/tests/net/core_test.cpp
@@ -2,6 +2,8 @@
 #undef NDEBUG
 #include <cassert>
 #include <cmath>
+#include <cstdio>
+#include <fstream>
 #include <iostream>
 
 #include "core/conductor.h"
@@ -91,6 +93,7 @@
     for (const auto& name : names) list.push_back(node(name));
     core.update(ListKind::full, 1, list);
   }
+  std::size_t unhealthy() const { return core.figures().unhealthy; }
   void take() {
     Inquiry inquiry;
     inquiry.prompt = {next_id, "/", std::make_shared<std::string>("{}")};
@@ -207,6 +210,80 @@
   assert(bed.core.ready_nodes() == 1);
 }
 
+// Two processes share the bans through a file: an order to either holds for both, is there after a restart, and a
+// file that can't be read changes nothing.
+void bans_are_shared() {
+  const std::string path = "core_test.bans";
+  std::remove(path.c_str());
+  using Ordered = Conductor::Ordered;
+  {
+    LockFile old_lock("core_test.lock"), new_lock("core_test.lock");
+    Bed old_one({"r", "w", "w2"}), new_one({"r", "w", "w2"});
+    old_one.core.keep_bans(path, old_lock);
+    assert(old_one.core.take_out("w2") == Ordered::done);
+    new_one.core.keep_bans(path, new_lock);
+    assert(new_one.unhealthy() == 1);
+    assert(new_one.core.take_out("r") == Ordered::done && old_one.core.take_out("w") == Ordered::done);
+    new_one.core.refresh_bans();
+    old_one.core.refresh_bans();
+    assert(old_one.unhealthy() == 3 && new_one.unhealthy() == 3);
+    assert(new_one.core.put_back("w") == Ordered::done && new_one.core.take_out("x") == Ordered::never_listed);
+    old_one.core.refresh_bans();
+    assert(old_one.unhealthy() == 2 && old_one.core.ready_nodes() == 1);
+    // Not while the other writes; and without effect then.
+    assert(old_lock.take(Bans::lock_byte));
+    assert(new_one.core.put_back("r") == Ordered::not_stored && new_one.unhealthy() == 2);
+  }
+  for (const char* torn : {"{\"out\":[\"r\",", "", "[]", "{\"out\":7,\"back\":{}}", "{\"out\":[]}"}) {
+    LockFile lock("core_test.lock");
+    Bed bed({"r", "w", "w2"});
+    bed.core.keep_bans(path, lock);
+    assert(bed.unhealthy() == 2);
+    std::ofstream(path) << torn;
+    bed.core.refresh_bans();
+    assert(bed.unhealthy() == 2);
+    assert(bed.core.take_out("w2") == Ordered::done);  // writes it whole again
+  }
+  LockFile lock("core_test.lock"), none("no/such/folder/lock");
+  Bed bed;
+  bed.core.keep_bans("core_test.bans", none);
+  assert(bed.core.take_out("w") == Ordered::not_stored && bed.core.ready_nodes() == 1);
+  std::remove(path.c_str());
+  std::remove("core_test.lock");
+}
+
+// What is put back is as cold as a node that has just started, whatever discovery has heard of it.
+void put_back_cold() {
+  Bed bed;
+  bed.core.take_out("r");
+  bed.pass(1min);
+  bed.core.put_back("r");
+  int sent = 0;
+  for (int i = 0; i < 20; ++i) {
+    bed.next_id = "q" + std::to_string(i);
+    bed.take();
+    sent += static_cast<int>(bed.nodes.begun.size());
+    bed.core.gone(bed.id);
+    bed.nodes.begun.clear();
+  }
+  assert(sent <= 1);
+}
+
+// Counts stay with the class that a request was taken with, and those of vanished classes are bounded.
+void counts_are_bounded() {
+  CountsByClass counts;
+  std::vector<ClassSettings> classes(1);
+  classes[0].name = "first";
+  counts.keep(classes);
+  const auto first = counts.of("first");
+  for (int i = 0; i < 500; ++i) {
+    classes[0].name = "k" + std::to_string(i);
+    counts.keep(classes);
+  }
+  ++first->answered;
+  assert(counts.all().size() == 65 && counts.all().count("k499") && !counts.all().count("first"));
+}
+
 // What comes for a client that has gone is passed to nobody, and the stream is ended at the node.
 void gone_in_stream() {
   Bed bed;
@@ -266,6 +343,9 @@
   cut_read();
   deadline();
   drained_node_gets_nothing();
+  bans_are_shared();
+  put_back_cold();
+  counts_are_bounded();
   gone_in_stream();
   slow_client();
   unknown_and_duplicate();
