Streams begun before a drain end their connections too

Ruled out: the door (0 requests ended there). Tests: http_drain_stream, http_handover, both_handover.

--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -46,7 +46,8 @@
 }
 
 http::Front::Options front_options(const config::Platform& platform, const config::Operator& settings) {
-  http::Front::Options options{{platform.listen}, platform.socket, front_places(platform)};
+  http::Front::Options options{{platform.listen}, front_places(platform)};
+  options.inherited = platform.socket;
   options.listen.insert(options.listen.end(), settings.http_listen.begin(), settings.http_listen.end());
   return options;
 }
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -228,7 +228,9 @@
   void complete(bool closes) {
     timer_.stop();
     in_request_ = false;
-    if (closes) {
+    // Guards against a stream whose head went out before the program began to drain and so did not say that the
+    // connection ends: the client would ask again on it, of a process that is about to end.
+    if (closes || front_.draining_) {
       state_ = State::ending;
       timer_.start(front_.options_.sending);
       if (connection_.unsent() == 0) finish_ending();
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -19,11 +19,11 @@
  public:
   struct Options {
     std::vector<std::string> listen;
-    std::optional<int> inherited;  // a socket that listens on the first of them already; the others are shared then
     std::size_t most_connections = 400;
     Micros idle{std::chrono::seconds(75)};       // between requests
     Micros asking{std::chrono::seconds(2)};      // for a request to come whole, the first from connecting on
     Micros sending{std::chrono::seconds(10)};    // for an answer to be taken
+    std::optional<int> inherited{};  // a socket that listens on the first of them already; the others are shared then
   };
   Front(net::Loop& loop, Conductor& conductor, Options options);
   ~Front();
--- a/tests/net/scenario.cpp
+++ b/tests/net/scenario.cpp
@@ -13,7 +13,7 @@
 //   r* expect run q1               whichever of r.. it is
 //   r1 expect nothing              all is quiet
 //   c1 send nothing 5              connects, so many times, and stays silent
-//   front limit 2                  the fronts have so many places
+//   front limit 2                  the fronts have so many places; front send drain, front send handover, front close
 //   m1 send call GET /ready        a caller at the management listener, one call a connection; sees status 200
 //   m1 send bytes TEXT             as raw, each byte on its own
 //   core wait 2s                   moves the core's clock on
@@ -398,7 +398,7 @@
     if (verb == "wait") return wait(rest.at(0));
     if (words[0] == "list") return change(rest);
     if (words[0] == "front" && verb == "limit") return serve(std::stoul(rest.at(0)));
-    if (words[0] == "front") return drain(verb);
+    if (words[0] == "front") return drain(verb == "close" ? verb : rest.at(0));
     if (verb == "expect") return expect(words[0], text, rest);
     Peer& to = peer(words[0], true);
     if (verb == "close") return to.close();
@@ -453,6 +453,11 @@
     if (verb == "close") {
       front_->stop_accepting();
       grpc_server_->stop_accepting();
+    } else if (verb == "handover") {
+      settle();
+      front_->hand_over();
+      grpc_server_->stop_accepting();
+      status_.drain();
     } else {
       front_->drain();
       status_.drain();
