Take settings, classes and discovery of a replaced file at SIGHUP, or nothing of it

Seen: the old reload took the discovery address of any file that parsed, and no settings; requests of a new class got 400. Ruled out: BALANCER_CONFIG from the operator's file was ignored at SIGHUP (std::getenv), fixed too.

--- a/include/lemonroute/scheduler.h
+++ b/include/lemonroute/scheduler.h
@@ -194,6 +194,7 @@
   Scheduler(Scheduler&&) noexcept;
   Scheduler& operator=(Scheduler&&) noexcept;
   void handle(Micros now, const Event& event, std::vector<Action>& actions);  // appends to actions
+  void retune(Settings settings);  // what was learned stays; requests under way keep the terms they began with
   std::vector<HostId> avoided(Micros now) const;  // listed hosts that are left out by choice
 
  private:
--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -57,12 +57,12 @@
   if (values.count("log-level") && !logging::parse_level(known(values, "log-level"), settings.log_level))
     throw Misuse("--log-level: '" + known(values, "log-level") + "' is not debug, info, warn or error");
   try {
-    const auto platform = config::load_platform([&](const char* name) -> const char* {
+    const config::Variables variable = [&](const char* name) -> const char* {
       if (std::string(name) == "BALANCER_CONFIG" && !settings.platform_file.empty())
         return settings.platform_file.c_str();
       return std::getenv(name);
-    });
-    return serve(platform, settings);
+    };
+    return serve(config::load_platform(variable), settings, variable);
   } catch (const std::exception& error) {
     err << "lemonroute: " << error.what() << '\n';
     return faulty;
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -38,11 +38,16 @@
 std::size_t front_places(const config::Platform& platform) { return shared_descriptors(platform) * 2 / 5; }
 std::size_t idle_nodes(const config::Platform& platform) { return shared_descriptors(platform) / 8; }
 
+// Nodes close what has been idle for the platform's time; a request written to it then is lost.
+Nodes::Limits node_limits(const config::Platform& platform, std::size_t parts) {
+  return {platform.settings.connect_timeout, platform.connection_idle * 6 / 10, idle_nodes(platform) / parts};
+}
+
 std::unique_ptr<Nodes> make_nodes(net::Loop& loop, const config::Platform& platform, bool grpc) {
   if (grpc) return std::make_unique<grpc::NodeClient>(loop, grpc::Session::Limits{platform.settings.connect_timeout});
-  // Nodes close what has been idle for the platform's time; a request written to it then is lost.
+  const Nodes::Limits limits = node_limits(platform, 1);
   return std::make_unique<http::NodeClient>(
-      loop, http::ClientLimits{platform.settings.connect_timeout, platform.connection_idle * 6 / 10, idle_nodes(platform)});
+      loop, http::ClientLimits{limits.connect_timeout, limits.idle, limits.idle_most});
 }
 
 http::Front::Options front_options(const config::Platform& platform, const config::Operator& settings) {
@@ -54,8 +59,9 @@
 
 class Program {
  public:
-  Program(const config::Platform& platform, const config::Operator& settings)
+  Program(const config::Platform& platform, const config::Operator& settings, config::Variables variable)
       : platform_(platform),
+        variable_(std::move(variable)),
         processes_(std::filesystem::temp_directory_path(), platform.name),
         nodes_(make_nodes(loop_, platform, settings.grpc_nodes)),
         conductor_(platform.settings, platform.zones, platform.kinds, platform.seed, clock_, *nodes_),
@@ -144,20 +150,28 @@
     if (std::exchange(shares_, shares) != shares) {
       logging::info() << (shares ? "another process of this conductor runs, places are halved"
                                  : "no other process of this conductor runs");
-      const std::size_t parts = shares ? 2 : 1;
+      const std::size_t parts = this->parts();
       front_.limit(std::max<std::size_t>(2, front_places(platform_) / parts));
-      nodes_->limit_idle(idle_nodes(platform_) / parts);
+      nodes_->limit(node_limits(platform_, parts));
       if (grpc_) grpc_->server.limit(std::max<std::size_t>(2, grpc_->places / parts));
     }
     look_.start(look_again);
   }
-  // Takes the discovery address of the replaced file; the rest of it holds from the next start on. With a
-  // file that can't be read the program goes on as it was: a slip there must not end what serves.
+  std::size_t parts() const { return shares_ ? 2 : 1; }
+  // Takes discovery, settings and classes of the replaced file together; its name, addresses and descriptors hold
+  // from the next start on. With a file that is not in order the program goes on as it was: a slip there must not
+  // end what serves.
   void reload() {
     try {
-      const auto platform = config::reload_platform(std::getenv);
-      logging::info() << "SIGHUP: discovery at " << platform.discovery;
-      watch_.move(platform.discovery);
+      const auto platform = config::reload_platform(variable_);
+      logging::info() << "SIGHUP: the configuration is taken, " << platform.settings.classes.size()
+                      << " classes, discovery at " << platform.discovery;
+      platform_.settings = platform.settings;
+      platform_.connection_idle = platform.connection_idle;
+      nodes_->limit(node_limits(platform_, parts()));
+      conductor_.retune(platform.settings, platform.zones, platform.kinds);
+      if (std::exchange(platform_.discovery, platform.discovery) != platform.discovery)
+        watch_.move(platform.discovery);
       ++reloads_.loaded;
     } catch (const config::ConfigError& error) {
       ++reloads_.invalid;
@@ -178,7 +192,8 @@
     ended_.start(end_poll);
   }
 
-  const config::Platform platform_;
+  config::Platform platform_;
+  const config::Variables variable_;
   ops::Processes processes_;
   SystemClock clock_;
   net::Loop loop_;
@@ -198,12 +213,12 @@
 
 }  // namespace
 
-int serve(const config::Platform& platform, const config::Operator& settings) {
+int serve(const config::Platform& platform, const config::Operator& settings, config::Variables variable) {
   std::signal(SIGPIPE, SIG_IGN);
   logging::set_level(settings.log_level);
   rlimit limit{};
   getrlimit(RLIMIT_NOFILE, &limit);
-  Program program(platform, settings);
+  Program program(platform, settings, std::move(variable));
   logging::info() << settings.application << ' ' << platform.name << " serves on " << platform.listen
                   << ", discovery at " << platform.discovery << ", " << limit.rlim_cur << " descriptors";
   program.run();
--- a/src/cli/serve.h
+++ b/src/cli/serve.h
@@ -6,6 +6,7 @@
 
 namespace lemonroute::cli {
 
-int serve(const config::Platform& platform, const config::Operator& settings);  // throws if it can't start
+int serve(const config::Platform& platform, const config::Operator& settings,
+          config::Variables variable);  // throws if it can't start
 
 }  // namespace lemonroute::cli
--- a/src/config/platform.cpp
+++ b/src/config/platform.cpp
@@ -2,6 +2,7 @@
 
 #include <charconv>
 #include <fstream>
+#include <set>
 #include <sstream>
 
 #include "net/connection.h"
@@ -48,12 +49,37 @@
   return list;
 }
 
+// Guards against a file that was cut or mistyped: a key that is absent would be taken for its usual value, which
+// may be no deadline at all.
+void check_complete(const json& config) {
+  const auto need = [](const json& in, const std::string& of, std::initializer_list<const char*> keys) {
+    for (const char* key : keys)
+      if (!in.contains(key)) throw ConfigError(of + key + " is missing");
+  };
+  if (!config.is_object()) throw ConfigError("it is no JSON object");
+  need(config, "", {"name", "listen", "discovery", "settings"});
+  const json& settings = config.at("settings");
+  need(settings, "settings: ", {"extra", "kinds", "lanes", "limits", "safety", "siblings", "zones"});
+  need(settings.at("limits"), "settings: limits.", {"conn-idle-us", "connect-timeout-us", "max-attempts"});
+  for (const auto& lane : settings.at("lanes"))
+    need(lane, "settings: lanes: ", {"name", "idempotency", "slo-us", "hard-limit-us"});
+}
+
 // Guards against a start with settings whose actions this conductor can't carry out; it would lose requests.
 void check_supported(const Settings& settings) {
   if (settings.place_ahead) throw ConfigError("settings: extra.early-pairing is not supported on sockets");
   if (settings.resume) throw ConfigError("settings: extra.resume is not supported on sockets");
   if (settings.second_copies) throw ConfigError("settings: limits.second-copies is not supported on sockets");
   if (settings.classes.empty()) throw ConfigError("settings: no classes in lanes");
+  if (settings.max_attempts == 0) throw ConfigError("settings: limits.max-attempts must be a positive number");
+  std::set<std::string> names;
+  for (const auto& one : settings.classes) {
+    const std::string lane = "settings: lanes: '" + one.name + "': ";
+    if (one.name.empty()) throw ConfigError("settings: lanes: a name is missing");
+    if (!names.insert(one.name).second) throw ConfigError(lane + "is there twice");
+    if (one.deadline <= Micros(0)) throw ConfigError(lane + "hard-limit-us must be a positive number");
+    if (one.aim <= Micros(0)) throw ConfigError(lane + "slo-us must be a positive number");
+  }
 }
 
 }  // namespace
@@ -67,6 +93,7 @@
 Platform parse_platform(const std::string& text) {
   try {
     const json config = json::parse(text);
+    check_complete(config);
     Platform platform;
     platform.name = config.value("name", "");
     platform.listen = config.value("listen", "");
@@ -82,7 +109,9 @@
     platform.zones = names(settings, "zones");
     platform.kinds = names(settings, "kinds");
     platform.connection_idle = Micros(static_cast<Micros::rep>(
-        settings.at("limits").value("conn-idle-us", 15e6)));
+        settings.at("limits").at("conn-idle-us").get<double>()));
+    if (platform.connection_idle <= Micros(0) || platform.settings.connect_timeout <= Micros(0))
+      throw ConfigError("settings: limits.conn-idle-us and limits.connect-timeout-us must be positive numbers");
     if (const auto known = config.find("known"); known != config.end() && !known->is_null())
       platform.known = discovery::parse_list(*known);
     return platform;
@@ -97,7 +126,7 @@
 
 namespace {
 
-Platform read_platform(const std::function<const char*(const char*)>& variable) {
+Platform read_platform(const Variables& variable) {
   const char* path = variable("BALANCER_CONFIG");
   if (!path) throw ConfigError("BALANCER_CONFIG is not set");
   std::ifstream file(path);
@@ -121,7 +150,7 @@
 
 }  // namespace
 
-Platform load_platform(const std::function<const char*(const char*)>& variable) {
+Platform load_platform(const Variables& variable) {
   Platform platform = read_platform(variable);
   for (auto [name, field] : {std::pair{"BALANCER_NAME", &platform.name},
                              std::pair{"BALANCER_LISTEN", &platform.listen},
@@ -141,7 +170,7 @@
   return platform;
 }
 
-Platform reload_platform(const std::function<const char*(const char*)>& variable) {
+Platform reload_platform(const Variables& variable) {
   Platform platform = read_platform(variable);
   check_address("discovery", platform.discovery);
   return platform;
--- a/src/config/platform.h
+++ b/src/config/platform.h
@@ -1,6 +1,7 @@
 // What the platform tells a conductor at its start.
 #pragma once
 
+#include <functional>
 #include <optional>
 #include <stdexcept>
 #include <string>
@@ -15,6 +16,9 @@
   using std::runtime_error::runtime_error;
 };
 
+// Looks up an environment variable; nothing for one that is not set.
+using Variables = std::function<const char*(const char*)>;
+
 struct Platform {
   std::string name, listen, discovery;
   std::string management;  // empty: off
@@ -32,8 +36,8 @@
 
 Platform parse_platform(const std::string& text);  // throws ConfigError
 // Reads the file that BALANCER_CONFIG names; the other BALANCER_* variables win over it.
-Platform load_platform(const std::function<const char*(const char*)>& variable);
+Platform load_platform(const Variables& variable);
 // The same file once it has been replaced: now what it says holds, over the variables of the start.
-Platform reload_platform(const std::function<const char*(const char*)>& variable);
+Platform reload_platform(const Variables& variable);
 
 }  // namespace lemonroute::config
--- a/src/core/conductor.cpp
+++ b/src/core/conductor.cpp
@@ -74,6 +74,7 @@
   Client* client = nullptr;  // null once answered or gone
   Micros deadline{};
   std::uint16_t attempts = 0;
+  std::uint32_t most_attempts = 1;
   std::shared_ptr<Counts> counts;  // of the class that it was taken with
   std::unique_ptr<Try> out;  // at most one
   HostId held_at = 0;        // the node of the last read that ended well
@@ -108,10 +109,6 @@
 
 void Conductor::update(ListKind kind, std::uint32_t version, const std::vector<Listed>& listed) {
   HostList list{kind, version, {}};
-  const auto index = [](const std::vector<std::string>& names, const std::string& name) {
-    const auto found = std::find(names.begin(), names.end(), name);
-    return static_cast<std::uint8_t>(std::min<std::ptrdiff_t>(found - names.begin(), 255));
-  };
   version_ = version;
   if (kind != ListKind::delta)
     for (auto& [id, node] : known_) node.entry.phase = node.listed = Phase::gone;
@@ -121,8 +118,10 @@
     node.id = id;
     node.name = item.name;
     if (!item.address.empty()) node.address = item.address;
-    node.entry = {id,        index(zones_, item.zone), index(kinds_, item.kind), item.cell, item.phase,
-                  item.weight, item.started};
+    node.zone = item.zone;
+    node.kind = item.kind;
+    node.entry = {id, 0, 0, item.cell, item.phase, item.weight, item.started};
+    place(node);
     node.listed = item.phase;
     node.listed_start = item.started;
     lay_over(node);
@@ -145,8 +144,32 @@
   put(std::move(list));
 }
 
+void Conductor::place(Node& node) const {
+  const auto index = [](const std::vector<std::string>& names, const std::string& name) {
+    const auto found = std::find(names.begin(), names.end(), name);
+    return static_cast<std::uint8_t>(std::min<std::ptrdiff_t>(found - names.begin(), 255));
+  };
+  node.entry.zone = index(zones_, node.zone);
+  node.entry.kind = index(kinds_, node.kind);
+}
+
 // ---- What operators order -----------------------------------------------------------------------------------
 
+void Conductor::retune(Settings settings, std::vector<std::string> zones, std::vector<std::string> kinds) {
+  settings_ = std::move(settings);
+  zones_ = std::move(zones);
+  kinds_ = std::move(kinds);
+  counts_.keep(settings_.classes);
+  scheduler_.retune(settings_);
+  // The entries of the list tell zones and kinds by their places in the lists of names, which may be others now.
+  HostList list{ListKind::full, version_, {}};
+  for (auto& [id, node] : known_) {
+    place(node);
+    list.hosts.push_back(node.entry);
+  }
+  put(std::move(list));
+}
+
 Conductor::Ordered Conductor::take_out(const std::string& node) { return order(node, true); }
 Conductor::Ordered Conductor::put_back(const std::string& node) { return order(node, false); }
 
@@ -253,6 +276,7 @@
   entry->id = id;
   entry->prompt = inquiry.prompt;
   entry->client = &client;
+  entry->most_attempts = settings_.max_attempts;
   entry->counts = counts_.of(settings_.classes[cls].name);
   entry->deadline = clock_.now() + request.budget;
   requests_[id] = std::move(entry);
@@ -339,7 +363,7 @@
     events_.push_back(Completed{send.id, outcome, !entry || !entry->client, Micros(0), send.host, 0, number, {}});
   };
   // The module keeps these rules itself; a slip there must not reach a node.
-  if (!entry || !entry->client || entry->out || now >= entry->deadline || number >= settings_.max_attempts)
+  if (!entry || !entry->client || entry->out || now >= entry->deadline || number >= entry->most_attempts)
     return answer(Outcome::moot);
   if (node == known_.end() || !node->second.ready()) return answer(Outcome::connect_failed);
   const Micros left = entry->deadline - now;
--- a/src/core/conductor.h
+++ b/src/core/conductor.h
@@ -35,6 +35,8 @@
   void update(ListKind kind, std::uint32_t version, const std::vector<Listed>& listed);
 
   // ---- for operators ----
+  // From now on. Requests that were taken keep their class and their most attempts.
+  void retune(Settings settings, std::vector<std::string> zones, std::vector<std::string> kinds);
   enum class Ordered { done, never_listed, not_stored };
   Ordered take_out(const std::string& node);  // no new work to it, whatever discovery lists, until it is put back
   Ordered put_back(const std::string& node);
@@ -93,6 +95,7 @@
   void drop_release(Released& released);
   Ordered order(const std::string& node, bool out);
   bool lay_over(Node& node) const;
+  void place(Node& node) const;
   void bans_changed();
   HostId id_of(const std::string& name) const;  // the one it has, or one that is free
   Role role(HostId id) const;
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -76,7 +76,7 @@
 
 struct Node {
   HostId id = 0;
-  std::string name, address;
+  std::string name, address, zone, kind;
   ListEntry entry;  // as the Scheduler sees it: with what was said by hand laid over what is listed
   Phase listed = Phase::ready;
   Micros listed_start{};
@@ -117,7 +117,11 @@
                                         std::function<void(bool)> done) = 0;
   virtual std::unique_ptr<Call> probe(const Node& node, std::function<void(const Result&)> done) = 0;
   virtual void hang_up(const Node& node) = 0;  // closes the idle connections
-  virtual void limit_idle(std::size_t) {}      // most idle connections, from now on
+  struct Limits {
+    Micros connect_timeout{}, idle{};  // idle connections are retired after it
+    std::size_t idle_most = 64;        // of all nodes together
+  };
+  virtual void limit(const Limits& limits) = 0;  // from now on
 };
 
 }  // namespace lemonroute
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -105,6 +105,8 @@
 
 struct Job {
   Request request;
+  std::shared_ptr<const ClassSettings> terms;  // these two from the request's beginning
+  std::uint32_t most_attempts = 1;
   double prompt = 0, shared = 0;
   Micros deadline{};
   double aim = 0;
@@ -146,17 +148,39 @@
 }  // namespace
 
 struct Scheduler::Core {
-  explicit Core(Settings settings) : s(std::move(settings)) {
+  explicit Core(Settings settings) { take(std::move(settings)); }
+
+  // At the start and at any time later.
+  void take(Settings settings) {
+    std::map<std::string, Bucket> kept;
+    for (std::size_t i = 0; i < buckets.size(); ++i) kept[s.tenants[i].name] = buckets[i];
+    auto work = std::move(class_work);
+    s = std::move(settings);
+    classes.clear();
+    class_work.clear();
+    fade = Micros(0);
+    most_worth = 0;
     for (const auto& c : s.classes) {
+      classes.push_back(std::make_shared<const ClassSettings>(c));
+      if (work.count(c.name)) class_work[c.name] = work[c.name];
       fade = std::max(fade, c.deadline);
       most_worth = std::max(most_worth, c.worth);
     }
     if (fade <= Micros(0)) fade = seconds(10);
-    buckets.resize(s.tenants.size());
+    buckets.clear();
+    for (const auto& tenant : s.tenants) buckets.push_back(kept[tenant.name]);
+    column.clear();
     for (std::size_t i = 0; i < s.report_columns.size(); ++i) column[s.report_columns[i]] = i;
+    for (auto& [id, host] : hosts) describe(host);
+  }
+  void describe(Host& host) const {
+    const auto kind = host.entry.kind;
+    host.role = kind < s.kind_role.size() ? s.kind_role[kind] : Role::both;
+    host.memory = kind < s.kind_memory.size() ? s.kind_memory[kind] : 0;
   }
 
   Settings s;
+  std::vector<std::shared_ptr<const ClassSettings>> classes;
   Micros now{};
   std::vector<Action>* actions = nullptr;
   Micros fade{};  // how long what was learned of a host's health lasts: the longest deadline
@@ -172,7 +196,7 @@
   std::vector<Bucket> buckets;
   Learned fresh_share{1, {}, true};  // of prompts, the part that was not kept
   Learned start_norm;                // the writers' usual time to a first token
-  std::map<std::uint16_t, Learned> class_work;
+  std::map<std::string, Learned> class_work;
   Learned usual_prompt;
   std::map<Role, Pool> pools;
   std::map<Role, Learned> inferred;
@@ -214,8 +238,7 @@
         host.void_before = now;
       }
       host.entry = entry;
-      host.role = entry.kind < s.kind_role.size() ? s.kind_role[entry.kind] : Role::both;
-      host.memory = entry.kind < s.kind_memory.size() ? s.kind_memory[entry.kind] : 0;
+      describe(host);
       host.listed = entry.phase == Phase::ready;
     }
     // Danger: a module that outlives its hosts many times over and looks at all of them for each request.
@@ -501,10 +524,11 @@
 
   // ---- Admission ----------------------------------------------------------------------------------------
 
-  const ClassSettings& cls(const Job& job) const {
-    static const ClassSettings unknown{
-        "", Effect::unsafe, Group::cell, seconds(1), seconds(1), {}, {}, {}, 0, 0, 1, true};
-    return job.request.cls < s.classes.size() ? s.classes[job.request.cls] : unknown;
+  const ClassSettings& cls(const Job& job) const { return *job.terms; }
+  std::shared_ptr<const ClassSettings> terms(std::uint16_t cls) const {
+    static const auto unknown = std::make_shared<const ClassSettings>(ClassSettings{
+        "", Effect::unsafe, Group::cell, seconds(1), seconds(1), {}, {}, {}, 0, 0, 1, true});
+    return cls < classes.size() ? classes[cls] : unknown;
   }
 
   // Whether a request is beyond its tenant's share, by a bucket that holds this instance's part of it.
@@ -657,10 +681,10 @@
     const bool serves = host.role != Role::read;
     if (job.ended || now >= job.deadline) return false;  // rule 1
     if (!host.listed) return false;                      // rule 3, with no grace used
-    if (job.attempts.size() >= s.max_attempts) return false;
+    if (job.attempts.size() >= job.most_attempts) return false;
     if (job.out() > 0 && (!s.second_copies || cls(job).effect != Effect::safe)) return false;
     if (serves && !may_serve(job, host)) return false;  // rule 2
-    auto& work = class_work[job.request.cls];
+    auto& work = class_work[cls(job).name];
     if (!cold_room(host, std::max(work.value, job.prompt))) return false;  // rule 4
     Attempt a;
     a.host = pick.host;
@@ -738,7 +762,7 @@
     if (job.held) release(job);
     // A read is of use only with an attempt left for the write.
     const bool whole = pick.found && hosts.at(pick.host).role == Role::both;
-    if (!whole && job.attempts.size() + 2 > s.max_attempts) return end(job, true);
+    if (!whole && job.attempts.size() + 2 > job.most_attempts) return end(job, true);
     if (!send(job, pick, pick.wait + pick.read + us(s.tick))) end(job, true, pick.wait);
   }
 
@@ -752,6 +776,8 @@
     Job& job = jobs[request.id];
     job = Job{};
     job.request = request;
+    job.terms = terms(request.cls);
+    job.most_attempts = s.max_attempts;
     job.prompt = sane(request.prompt);
     job.shared = std::min(job.prompt, sane(request.shared_prefix));
     job.deadline = now + request.budget;
@@ -892,7 +918,7 @@
     const bool at_reader = role_of(a.host) == Role::read;
     const std::size_t needed = job.held ? 1 : 2;
     const bool may_repeat = at_reader || cls(job).effect == Effect::safe;
-    if (s.may_cancel && may_repeat && job.attempts.size() + needed <= s.max_attempts) {
+    if (s.may_cancel && may_repeat && job.attempts.size() + needed <= job.most_attempts) {
       const Pick other = job.held ? pick_writer(job, a.host) : pick_reader(job, a.host);
       const double sooner = job.held ? (start_norm.known ? start_norm.value : elapsed) : other.score;
       if (other.found && sooner < elapsed && us(job.deadline - now) > sooner)
@@ -922,6 +948,8 @@
 Scheduler::Scheduler(Scheduler&&) noexcept = default;
 Scheduler& Scheduler::operator=(Scheduler&&) noexcept = default;
 
+void Scheduler::retune(Settings settings) { core_->take(std::move(settings)); }
+
 std::vector<HostId> Scheduler::avoided(Micros now) const {
   std::vector<HostId> ids;
   core_->now = std::max(core_->now, now);
--- a/src/grpc/node_client.h
+++ b/src/grpc/node_client.h
@@ -17,6 +17,7 @@
                                 std::function<void(bool)> done) override;
   std::unique_ptr<Call> probe(const Node& node, std::function<void(const Result&)> done) override;
   void hang_up(const Node& node) override;
+  void limit(const Limits& limits) override { limits_.connect_timeout = limits.connect_timeout; }
 
  private:
   void closed(Session& session) override;
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -63,7 +63,11 @@
   std::unique_ptr<Exchange> start(const std::string& address, std::string_view head,
                                   std::shared_ptr<const std::string> body, Listener& listener);
   void hang_up(const std::string& address);
-  void limit_idle(std::size_t most) { limits_.idle_most = most; }
+  void limit(microseconds connect_timeout, microseconds idle, std::size_t idle_most) {
+    limits_.connect_timeout = connect_timeout;
+    limits_.idle = idle;
+    limits_.idle_most = idle_most;
+  }
 
  private:
   friend class PooledConnection;
--- a/src/http/node_client.h
+++ b/src/http/node_client.h
@@ -15,7 +15,9 @@
                                 std::function<void(bool)> done) override;
   std::unique_ptr<Call> probe(const Node& node, std::function<void(const Result&)> done) override;
   void hang_up(const Node& node) override { client_.hang_up(node.address); }
-  void limit_idle(std::size_t most) override { client_.limit_idle(most); }
+  void limit(const Limits& limits) override {
+    client_.limit(limits.connect_timeout, limits.idle, limits.idle_most);
+  }
 
  private:
   Client client_;
--- a/tests/net/core_test.cpp
+++ b/tests/net/core_test.cpp
@@ -44,6 +44,7 @@
   }
   std::unique_ptr<Call> probe(const Node&, std::function<void(const Result&)>) override { return nullptr; }
   void hang_up(const Node&) override {}
+  void limit(const Limits&) override {}
 };
 
 struct TestClient : Client {
--- a/tests/net/scenario.cpp
+++ b/tests/net/scenario.cpp
@@ -17,6 +17,7 @@
 //   m1 send call GET /ready        a caller at the management listener, one call a connection; sees status 200
 //   m1 send bytes TEXT             as raw, each byte on its own
 //   core wait 2s                   moves the core's clock on
+//   core send retune altro 2       new settings: the one class altro, 2 attempts
 //   list send leaving r1           tells the core of a change; with peer d, discovery itself answers in raw
 //   c1 send raw TEXT               bytes as they are: \r \n, and $r1 is a node's address; {N} repeats
 // The time of the core is the scenario's alone; the wall clock only bounds how long a step may hang.
@@ -397,6 +398,7 @@
     const Words rest(words.begin() + 2, words.end());
     if (verb == "wait") return wait(rest.at(0));
     if (words[0] == "list") return change(rest);
+    if (words[0] == "core") return retune(rest.at(1), std::stoul(rest.at(2)));
     if (words[0] == "front" && verb == "limit") return serve(std::stoul(rest.at(0)));
     if (words[0] == "front") return drain(verb == "close" ? verb : rest.at(0));
     if (verb == "expect") return expect(words[0], text, rest);
@@ -449,6 +451,13 @@
     listed.phase = words[0] == "ready" ? Phase::ready : words[0] == "leaving" ? Phase::draining : Phase::gone;
     core_->update(ListKind::delta, ++version_, {listed});
   }
+  void retune(const string& kind, std::size_t attempts) {
+    Settings now = settings();
+    now.classes[0].name = kind;
+    now.max_attempts = static_cast<std::uint32_t>(attempts);
+    std::swap(now.kind_role[0], now.kind_role[1]);
+    core_->retune(now, {"a"}, {"scrittura", "lettura"});  // the kinds trade places
+  }
   void drain(const string& verb) {
     if (verb == "close") {
       front_->stop_accepting();
--- a/tests/net/tools_test.cpp
+++ b/tests/net/tools_test.cpp
@@ -15,6 +15,7 @@
 
 #include "cli/commands.h"
 #include "config/operator.h"
+#include "config/platform.h"
 #include "grpc/node_client.h"
 #include "http/node_client.h"
 #include "ops/agent_check.h"
@@ -94,11 +95,43 @@
   return write_file(R"({"name":"n1","listen":"127.0.0.1:0","discovery":")" + discovery + R"(",
     "known":{"generation":1,"reset":true,"instances":[]},
     "settings":{"zones":["a"],"kinds":["r"],"siblings":1,"extra":{"kind-role":["read"],"release-us":1000000},
-      "lanes":[{"name":"k","idempotency":"read_like","slo-us":1500000}],
+      "lanes":[{"name":"k","idempotency":"read_like","slo-us":1500000,"hard-limit-us":7500000}],
       "limits":{"max-attempts":6,"conn-idle-us":15000000,"connect-timeout-us":250000},
       "safety":{"cold-us":1,"cold-from":1,"fall-multiple":1,"fall-us":1}}})");
 }
 
+// A file of the platform's with a fault is turned down, at the start, by config check and at SIGHUP alike.
+void platform_faults() {
+  platform_file("127.0.0.1:1");
+  std::ifstream file("tools_test.toml");
+  const string good(std::istreambuf_iterator<char>(file), {});
+  config::parse_platform(good);
+  const auto broken = [&](const string& from, const string& to) {
+    const auto at = good.find(from);
+    assert(at != string::npos);
+    string text = good;
+    return text.replace(at, from.size(), to);
+  };
+  for (const string& text :
+       {string(), string("[]"), good.substr(0, good.size() / 2), broken("\"name\":\"n1\",", ""),
+        broken("\"listen\":\"127.0.0.1:0\",", ""), broken("\"discovery\"", "\"discover\""),
+        broken("\"settings\"", "\"setting\""), broken("\"max-attempts\":6,", ""), broken("attempts\":6", "attempts\":0"),
+        broken("attempts\":6", "attempts\":-1"), broken("attempts\":6", "attempts\":\"six\""),
+        broken("attempts\":6", "attempts\":null"), broken(",\"hard-limit-us\":7500000", ""),
+        broken("limit-us\":7500000", "limit-us\":0"), broken("limit-us\":7500000", "limit-us\":-7500000"),
+        broken("limit-us\":7500000", "limit-us\":\"7s\""), broken("limit-us\":7500000", "limit-us\":true"),
+        broken("\"zones\":[\"a\"],", ""), broken("\"siblings\":1,", ""), broken("\"name\":\"k\",", ""),
+        broken("read_like", "odd"), broken("\"cold-us\":1,", "")}) {
+    bool refused = false;
+    try {
+      config::parse_platform(text);
+    } catch (const config::ConfigError&) {
+      refused = true;
+    }
+    assert(refused);
+  }
+}
+
 // A socket that takes connections, and its address.
 struct Door {
   Door() {
@@ -264,6 +297,7 @@
   std::unique_ptr<Call> release(const Node&, const string&, std::function<void(bool)>) override { return nullptr; }
   std::unique_ptr<Call> probe(const Node&, std::function<void(const Result&)>) override { return nullptr; }
   void hang_up(const Node&) override {}
+  void limit(const Limits&) override {}
 };
 
 struct Bed {
@@ -378,6 +412,7 @@
   using namespace lemonroute;
   command_line();
   faults();
+  platform_faults();
   start_and_end();
   second_answer();
   old_report<HttpStreamer, http::NodeClient, http::ClientLimits>();
