Give streams under way to the process that takes over

The ending process now gives each stream between two events, with both its connections, to the new one.

--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -13,6 +13,7 @@
 #include "http/front.h"
 #include "http/node_client.h"
 #include "ops/agent_check.h"
+#include "ops/handover.h"
 #include "ops/health_service.h"
 #include "ops/management.h"
 #include "ops/processes.h"
@@ -25,6 +26,7 @@
 // After SIGTERM new connections keep arriving for up to 0.4 s, and may find their first bytes late.
 constexpr milliseconds arrival_window{600};
 constexpr milliseconds end_poll{20};
+constexpr milliseconds pass_again{10};
 // A node taken out at the other process must get nothing from here half a second after the yes.
 constexpr milliseconds look_again{100};
 
@@ -72,6 +74,7 @@
         window_(loop_, [this] { stop_accepting(); }),
         ended_(loop_, [this] { poll_end(); }),
         look_(loop_, [this] { look(); }),
+        pass_(loop_, [this] { pass_streams(); }),
         term_(loop_, SIGTERM, [this] { drain("SIGTERM"); }),
         interrupt_(loop_, SIGINT, [this] { drain("SIGINT"); }),
         hang_up_(loop_, SIGHUP, [this] { reload(); }) {
@@ -93,6 +96,9 @@
     conductor_.keep_bans(processes_.file(".bans"), processes_.lock());
     watch_.start();
     look();
+    if (platform.socket)
+      handover_ = std::make_unique<ops::Handover>(loop_, processes_.file(".streams"),
+                                                  [this](const Passing& stream) { front_.adopt(stream); });
     processes_.serves(true);
   }
   ~Program() { conductor_.on_change = nullptr; }  // the timer goes before the conductor does
@@ -128,6 +134,7 @@
     if (draining_) return;
     draining_ = true;
     processes_.serves(false);
+    handover_.reset();
     const bool successor = processes_.another_serves();
     logging::info() << signal << ": draining, " << conductor_.open() << " requests open"
                     << (successor ? ", another process takes the clients" : "");
@@ -141,6 +148,14 @@
     front_.hand_over();
     if (grpc_) grpc_->server.stop_accepting();
     agent_.reset();
+    pass_streams();
+  }
+  // A stream may outlast this process's time; each is given away once it stands between two events.
+  void pass_streams() {
+    conductor_.pass_streams([path = processes_.file(".streams")](const Passing& stream) {
+      return ops::Handover::send(path, stream);
+    });
+    pass_.start(pass_again);
   }
   // What the other process of this conductor, if there is one, has changed. Both together must stay within the
   // limits of one, so each has half of the places while two run.
@@ -202,11 +217,12 @@
   ops::Status status_;
   http::Front front_;
   discovery::Watch watch_;
-  net::Timer due_, window_, ended_, look_;
+  net::Timer due_, window_, ended_, look_, pass_;
   net::Signal term_, interrupt_, hang_up_;
   std::unique_ptr<Grpc> grpc_;
   std::unique_ptr<ops::AgentCheck> agent_;
   ops::Reloads reloads_;
+  std::unique_ptr<ops::Handover> handover_;
   std::unique_ptr<ops::Management> management_;
   bool draining_ = false, shares_ = false;
 };
--- a/src/core/conductor.cpp
+++ b/src/core/conductor.cpp
@@ -75,6 +75,7 @@
   Micros deadline{};
   std::uint16_t attempts = 0;
   std::uint32_t most_attempts = 1;
+  std::string kind;
   std::shared_ptr<Counts> counts;  // of the class that it was taken with
   std::unique_ptr<Try> out;  // at most one
   HostId held_at = 0;        // the node of the last read that ended well
@@ -256,9 +257,8 @@
   // Guards against a client that repeats an id while the first is open: nodes know a request by its id, and
   // two under one name would be two attempts out at once.
   if (by_name_.count(inquiry.prompt.id)) return Taken::duplicate;
-  id = hash_of(inquiry.prompt.id) & request_bits;
-  while (requests_.count(id)) id = (id + 1) & request_bits;
-  by_name_[inquiry.prompt.id] = id;
+  Entry& entry = enter(inquiry.prompt, client, inquiry.kind);
+  id = entry.id;
 
   Request request;
   request.id = id;
@@ -272,17 +272,73 @@
   request.max_output = static_cast<float>(inquiry.max_output);
   request.flags = static_cast<std::uint8_t>((inquiry.repeat ? 2 : 0) | (inquiry.resumed ? 16 : 0));
 
+  entry.deadline = clock_.now() + request.budget;
+  put(request);
+  return Taken::yes;
+}
+
+Conductor::Entry& Conductor::enter(const Prompt& prompt, Client& client, const std::string& kind) {
+  RequestId id = hash_of(prompt.id) & request_bits;
+  while (requests_.count(id)) id = (id + 1) & request_bits;
+  by_name_[prompt.id] = id;
   auto entry = std::make_unique<Entry>();
   entry->id = id;
-  entry->prompt = inquiry.prompt;
+  entry->prompt = prompt;
   entry->client = &client;
   entry->most_attempts = settings_.max_attempts;
-  entry->counts = counts_.of(settings_.classes[cls].name);
-  entry->deadline = clock_.now() + request.budget;
-  requests_[id] = std::move(entry);
+  entry->kind = kind;
+  entry->counts = counts_.of(kind);
   ++open_;
-  put(request);
-  return Taken::yes;
+  return *(requests_[id] = std::move(entry));
+}
+
+// ---- Streams between processes ------------------------------------------------------------------------------
+
+// Both connections are given at once, between two events, so that each byte is read and written by one process only.
+void Conductor::pass_streams(const std::function<bool(const Passing&)>& give) {
+  std::vector<RequestId> streaming;
+  for (const auto& [id, entry] : requests_)
+    if (entry->client && entry->out && entry->out->started) streaming.push_back(id);
+  for (const RequestId id : streaming) {
+    Entry& entry = *find(id);
+    const auto client = entry.client->passable(), call = entry.out->call->passable();
+    if (!client || !call) continue;
+    if (!give({entry.prompt.id, entry.kind, entry.out->node, entry.out->number, *client, *call})) return;
+    logging::info() << entry.prompt.id << " goes on at the other process";
+    Client& given = *entry.client;
+    end(entry);
+    const std::unique_ptr<Try> out = std::move(entry.out);
+    timers_.drop(out->timer);
+    given.passed();
+    out->call->passed();
+    put(Completed{id, Outcome::cancelled, true, clock_.now() - out->sent, out->host, 0, out->number, {}});
+  }
+}
+
+// The module never hears of such a stream: nothing about it is left to decide.
+bool Conductor::adopt(const Passing& stream, Client& client, RequestId& id) {
+  if (by_name_.count(stream.id)) return false;
+  Node node;
+  node.name = stream.node;
+  node.id = id_of(stream.node);
+  if (const auto known = known_.find(node.id); known != known_.end()) node = known->second;
+  Entry& entry = enter({stream.id, {}, {}}, client, stream.kind);
+  id = entry.id;
+  entry.attempts = static_cast<std::uint16_t>(stream.attempt + 1);
+  entry.out = std::make_unique<Try>(*this, id, stream.attempt, node, Role::write, clock_.now());
+  entry.out->started = true;
+  entry.out->call = nodes_.adopt(node, stream.call, *entry.out);
+  if (!entry.out->call) {
+    end(entry);
+    entry.out.reset();
+    touched_.push_back(id);
+    settle();
+    return false;
+  }
+  logging::info() << stream.id << " goes on here, from the other process";
+  watch_silence(*entry.out);
+  if (on_change) on_change();
+  return true;
 }
 
 void Conductor::gone(RequestId id) {
--- a/src/core/conductor.h
+++ b/src/core/conductor.h
@@ -51,6 +51,11 @@
   void gone(RequestId id);     // the client has gone: it is told nothing more
   void drained(RequestId id);  // the client can take more events
 
+  // ---- for another process of this conductor ----
+  // Gives away streams that stand between two events, each once `give` has sent it; the others stay.
+  void pass_streams(const std::function<bool(const Passing&)>& give);
+  bool adopt(const Passing& stream, Client& client, RequestId& id);  // goes on with one that was given
+
   // ---- for the loop ----
   std::optional<Micros> next_due() const { return timers_.next(); }
   void run_due();
@@ -100,6 +105,7 @@
   HostId id_of(const std::string& name) const;  // the one it has, or one that is free
   Role role(HostId id) const;
   Entry* find(RequestId id);
+  Entry& enter(const Prompt& prompt, Client& client, const std::string& kind);
 
   Settings settings_;
   std::vector<std::string> zones_, kinds_;
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -62,6 +63,18 @@
 // Whether nodes can be told of a request by this id: letters, digits, '-' and '_', up to 128 of them.
 bool valid_id(std::string_view id);
 
+// A connection that another process of the conductor can go on with: nothing of what it carried is held here.
+struct Passed {
+  int fd = -1;
+  bool closes = false;  // whether it ends with this answer
+};
+// A stream under way, with both its connections.
+struct Passing {
+  std::string id, kind, node;
+  std::uint16_t attempt = 0;
+  Passed client, call;
+};
+
 // Where the answer to one request goes. Exactly one of finish, refuse, fail and cut ends it, and none of
 // them is called after Conductor::gone. None of them may call the Conductor's gone from within.
 class Client {
@@ -72,6 +85,8 @@
   virtual void refuse(Micros stay_away) = 0;      // trying again is harmless
   virtual void fail(Failure why) = 0;
   virtual void cut() = 0;  // the stream broke after its first event
+  virtual std::optional<Passed> passable() { return std::nullopt; }
+  virtual void passed() {}  // another process has it now; nothing more is called
 };
 
 struct Node {
@@ -105,6 +120,8 @@
  public:
   virtual ~Call() = default;
   virtual void hold_back(bool) {}  // backpressure of a stream
+  virtual std::optional<Passed> passable() { return std::nullopt; }
+  virtual void passed() {}
 };
 
 class Nodes {
@@ -116,6 +133,8 @@
   virtual std::unique_ptr<Call> release(const Node& node, const std::string& id,
                                         std::function<void(bool)> done) = 0;
   virtual std::unique_ptr<Call> probe(const Node& node, std::function<void(const Result&)> done) = 0;
+  // Goes on with a stream that another process began; nothing if that can't be done, and the descriptor is open still.
+  virtual std::unique_ptr<Call> adopt(const Node&, const Passed&, Attempt&) { return nullptr; }
   virtual void hang_up(const Node& node) = 0;  // closes the idle connections
   struct Limits {
     Micros connect_timeout{}, idle{};  // idle connections are retired after it
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -22,6 +22,30 @@
     connection_.write(head);
     if (body) connection_.write(std::move(body));
   }
+  PooledConnection(Client& owner, const std::string& address, const Passed& adopted)
+      : owner_(owner),
+        address_(address),
+        timer_(owner.loop_, [this] { on_timer(); }),
+        connected_(true),
+        has_head_(true),
+        closes_(adopted.closes),
+        written_(true),
+        body_(Body::going_on()),
+        connection_(owner.loop_, adopted.fd, *this) {}
+  void go_on(Exchange& exchange, Listener& listener) {
+    exchange_ = &exchange;
+    listener_ = &listener;
+    exchange.connection_ = this;
+  }
+  std::optional<Passed> passable() {
+    const bool between = has_head_ && body_.between_chunks() && connection_.at_rest();
+    return between ? std::optional(Passed{connection_.descriptor(), closes_}) : std::nullopt;
+  }
+  void passed() {
+    connection_.read(false);  // what comes from now on is for the other process
+    exchange_ = nullptr;
+    owner_.discard(*this);
+  }
   void rest() { timer_.start(owner_.limits_.idle); }
   void drop_exchange() {
     exchange_ = nullptr;
@@ -131,6 +155,13 @@
   if (connection_) connection_->hold_back(on);
 }
 
+std::optional<Passed> Exchange::passable() const {
+  return connection_ ? connection_->passable() : std::nullopt;
+}
+void Exchange::passed() {
+  if (connection_) std::exchange(connection_, nullptr)->passed();
+}
+
 Client::Client(net::Loop& loop, ClientLimits limits) : loop_(loop), limits_(limits) {}
 Client::~Client() = default;
 
@@ -147,6 +178,15 @@
   return exchange;
 }
 
+std::unique_ptr<Exchange> Client::adopt(const std::string& address, const Passed& connection, Listener& listener) {
+  auto made = std::make_unique<PooledConnection>(*this, address, connection);
+  auto exchange = std::make_unique<Exchange>();
+  made->go_on(*exchange, listener);
+  PooledConnection* const at = made.get();
+  all_[at] = std::move(made);
+  return exchange;
+}
+
 // Guards against a node that closed a connection, or sent a second answer on it, while it rested: what has come
 // in but was not looked at yet would be lost with the request, or be taken for its answer.
 PooledConnection* Client::take_idle(const std::string& address) {
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 
+#include "core/types.h"
 #include "http/message.h"
 #include "net/connection.h"
 
@@ -46,6 +47,8 @@
  public:
   ~Exchange();
   void hold_back(bool on);  // stops or goes on reading the answer
+  std::optional<Passed> passable() const;  // between two chunks of an answer, with nothing read ahead
+  void passed();                           // its connection is another process's now
 
  private:
   friend class PooledConnection;
@@ -62,6 +65,8 @@
 
   std::unique_ptr<Exchange> start(const std::string& address, std::string_view head,
                                   std::shared_ptr<const std::string> body, Listener& listener);
+  // An exchange that another process began; its answer goes on after a chunk.
+  std::unique_ptr<Exchange> adopt(const std::string& address, const Passed& connection, Listener& listener);
   void hang_up(const std::string& address);
   void limit(microseconds connect_timeout, microseconds idle, std::size_t idle_most) {
     limits_.connect_timeout = connect_timeout;
--- a/src/http/event_stream.h
+++ b/src/http/event_stream.h
@@ -16,6 +16,7 @@
 
   // False if an event grew beyond what is allowed, or a line is none of an event stream.
   bool feed(std::string_view piece);
+  bool between() const { return line_.empty() && !has_data_; }  // two events
 
  private:
   bool line(std::string_view text);  // false: stop
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -31,6 +31,20 @@
     connection_.limit_input(most_input);
     timer_.start(front_.options_.asking);
   }
+  // A stream that another process began to answer.
+  ClientConnection(Front& front, const Passed& adopted) : ClientConnection(front, adopted.fd) {
+    timer_.stop();
+    state_ = State::streaming;
+    asked_ = whole_ = true;
+    closes_ = adopted.closes;
+    keep_ = !closes_;
+  }
+  bool go_on(const Passing& stream) {
+    inquiry_.prompt.id = stream.id;
+    if (front_.conductor_.adopt(stream, *this, id_)) return true;
+    state_ = State::closed;
+    return false;
+  }
   ~ClientConnection() override {
     if (state_ == State::waiting || state_ == State::streaming) front_.conductor_.gone(id_);
   }
@@ -198,6 +212,15 @@
   void fail(Failure why) override {
     answer(why == Failure::timed_out ? 504 : why == Failure::unfit ? 400 : 502);
   }
+  std::optional<Passed> passable() override {
+    const bool between = state_ == State::streaming && !held_back_ && connection_.at_rest();
+    return between ? std::optional(Passed{connection_.descriptor(), closes_}) : std::nullopt;
+  }
+  void passed() override {
+    connection_.read(false);  // what comes from now on is for the other process
+    state_ = State::closed;
+    front_.discard(*this);
+  }
   void cut() override {
     // No last chunk: the client must see that the stream is not whole, and see it now.
     state_ = State::ending;
@@ -286,6 +309,18 @@
   admission_.arrived(made);
 }
 
+void Front::adopt(const Passing& stream) {
+  auto connection = std::make_unique<ClientConnection>(*this, stream.client);
+  ClientConnection& made = *connection;
+  connections_[&made] = std::move(connection);
+  admission_.arrived(made);
+  admission_.busy(made);
+  if (made.go_on(stream)) return;
+  // Nothing of it was taken, so the node's connection is still only a number.
+  evutil_closesocket(stream.call.fd);
+  discard(made);
+}
+
 void Front::discard(ClientConnection& connection) {
   const auto found = connections_.find(&connection);
   if (found == connections_.end()) return;
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -242,6 +242,13 @@
   return body;
 }
 
+Body Body::going_on() {
+  Body body;
+  body.framing_ = Framing::chunked;
+  body.chunk_limit_ = most_chunk;
+  return body;
+}
+
 Body::State Body::fail(Fault fault) {
   fault_ = fault;
   return State::fault;
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -68,6 +68,8 @@
 
   // Hands on what there is, piece by piece; `piece` returns false to stop (the state is then more).
   State take(evbuffer* input, const std::function<bool(std::string_view)>& piece);
+  static Body going_on();       // of an answer in chunks, between two of them
+  bool between_chunks() const { return framing_ == Framing::chunked && chunk_ == Chunk::size; }
   Fault fault() const { return fault_; }
   bool until_close() const { return framing_ == Framing::until_close; }
 
--- a/src/http/node_client.cpp
+++ b/src/http/node_client.cpp
@@ -41,21 +41,35 @@
  public:
   AttemptCall(Client& client, const Node& node, const Prompt& prompt, Micros within, Attempt& attempt)
       : attempt_(attempt) {
-    stream_.on_event = [this](std::string_view data) { return event(data); };
-    stream_.on_comment = [this](std::string_view text) {
-      constexpr std::string_view name = "Srv-Load:";
-      if (same_name(text.substr(0, name.size()), name)) result_.load = trim(text.substr(name.size()));
-      return true;
-    };
+    set_up();
     std::ostringstream head;
     head << "POST " << prompt.target << " HTTP/1.1\r\nHost: " << node.address << "\r\nReq-Id: " << prompt.id
          << "\r\nReq-Deadline: " << seconds_text(within)
          << "\r\nContent-Type: application/json\r\nContent-Length: " << prompt.body->size() << "\r\n\r\n";
     exchange_ = client.start(node.address, head.str(), prompt.body, *this);
   }
+  // Goes on with a stream that another process began, after one of its events.
+  AttemptCall(Client& client, const Node& node, const Passed& connection, Attempt& attempt)
+      : attempt_(attempt), status_(200), streams_(true), events_(1) {
+    set_up();
+    result_.outcome = Outcome::ok;
+    exchange_ = client.adopt(node.address, connection, *this);
+  }
   void hold_back(bool on) override { exchange_->hold_back(on); }
+  std::optional<Passed> passable() override {
+    return streams_ && events_ > 0 && !done_seen_ && stream_.between() ? exchange_->passable() : std::nullopt;
+  }
+  void passed() override { exchange_->passed(); }
 
  private:
+  void set_up() {
+    stream_.on_event = [this](std::string_view data) { return event(data); };
+    stream_.on_comment = [this](std::string_view text) {
+      constexpr std::string_view name = "Srv-Load:";
+      if (same_name(text.substr(0, name.size()), name)) result_.load = trim(text.substr(name.size()));
+      return true;
+    };
+  }
   void written() override { attempt_.written(); }
   void head(const Head& head) override {
     status_ = head.status;
@@ -163,6 +177,10 @@
   return std::make_unique<AttemptCall>(client_, node, prompt, within, attempt);
 }
 
+std::unique_ptr<Call> NodeClient::adopt(const Node& node, const Passed& connection, Attempt& attempt) {
+  return std::make_unique<AttemptCall>(client_, node, connection, attempt);
+}
+
 std::unique_ptr<Call> NodeClient::release(const Node& node, const std::string& id,
                                           std::function<void(bool)> done) {
   return std::make_unique<SimpleCall>(client_, node, "DELETE /state/" + id,
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -46,6 +46,10 @@
   bool started() const { return started_; }  // false: not even a socket could be had
   evbuffer* input() { return bufferevent_get_input(bev_.get()); }
   bool silent() const;  // nothing has come in, not even an end
+  evutil_socket_t descriptor() const { return bufferevent_getfd(bev_.get()); }
+  bool at_rest() const {  // nothing that has come or is to go is held here
+    return unsent() == 0 && evbuffer_get_length(bufferevent_get_input(bev_.get())) == 0;
+  }
   std::size_t unsent() const { return evbuffer_get_length(bufferevent_get_output(bev_.get())); }
 
   // Written parts are gathered and go out together, without being copied into one block.
--- /dev/null
+++ b/src/ops/handover.cpp
@@ -0,0 +1,111 @@
+#include "ops/handover.h"
+
+#include <sys/socket.h>
+#include <sys/stat.h>
+#include <sys/un.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+#include <cstring>
+#include <nlohmann/json.hpp>
+
+#include "base/log.h"
+
+namespace lemonroute::ops {
+namespace {
+
+constexpr std::size_t most_text = 4096;
+using Descriptors = std::array<int, 2>;  // the client's and the node's
+
+bool address_of(const std::string& path, sockaddr_un& address) {
+  address.sun_family = AF_UNIX;
+  if (path.size() >= sizeof address.sun_path) return false;
+  std::memcpy(address.sun_path, path.c_str(), path.size() + 1);
+  return true;
+}
+
+// A message of text and the two descriptors, for sending or receiving.
+struct Message {
+  Message(char* text, std::size_t size) : part{text, size} {
+    header.msg_iov = &part;
+    header.msg_iovlen = 1;
+    header.msg_control = control;
+    header.msg_controllen = sizeof control;
+  }
+  iovec part;
+  msghdr header{};
+  alignas(cmsghdr) char control[CMSG_SPACE(sizeof(Descriptors))]{};
+};
+
+}  // namespace
+
+Handover::Handover(net::Loop& loop, const std::string& path, Taken taken) : taken_(std::move(taken)) {
+  sockaddr_un address{};
+  fd_ = socket(AF_UNIX, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  unlink(path.c_str());
+  if (fd_ < 0 || !address_of(path, address) || fchmod(fd_, 0600) != 0 ||
+      bind(fd_, reinterpret_cast<sockaddr*>(&address), sizeof address) != 0 || chmod(path.c_str(), 0600) != 0) {
+    logging::warn() << path << ": streams of another process can't be taken over: " << std::strerror(errno);
+    return;
+  }
+  event_.reset(event_new(
+      loop.base(), fd_, EV_READ | EV_PERSIST,
+      [](evutil_socket_t, short, void* self) { static_cast<Handover*>(self)->receive(); }, this));
+  event_add(event_.get(), nullptr);
+}
+
+// The file stays: it may be another process's by now.
+Handover::~Handover() {
+  event_.reset();
+  if (fd_ >= 0) close(fd_);
+}
+
+bool Handover::send(const std::string& path, const Passing& stream) {
+  sockaddr_un address{};
+  if (!address_of(path, address)) return false;
+  const int fd = socket(AF_UNIX, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0) return false;
+  const nlohmann::json all{{"id", stream.id},          {"kind", stream.kind},
+                           {"node", stream.node},      {"attempt", stream.attempt},
+                           {"client", stream.client.closes}, {"call", stream.call.closes}};
+  std::string text = all.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  Message message(text.data(), text.size());
+  message.header.msg_name = &address;
+  message.header.msg_namelen = sizeof address;
+  cmsghdr* control = CMSG_FIRSTHDR(&message.header);
+  control->cmsg_level = SOL_SOCKET;
+  control->cmsg_type = SCM_RIGHTS;
+  control->cmsg_len = CMSG_LEN(sizeof(Descriptors));
+  const Descriptors both{stream.client.fd, stream.call.fd};
+  std::memcpy(CMSG_DATA(control), both.data(), sizeof both);
+  const bool sent = text.size() <= most_text &&
+                    sendmsg(fd, &message.header, MSG_NOSIGNAL) == static_cast<ssize_t>(text.size());
+  close(fd);
+  return sent;
+}
+
+void Handover::receive() {
+  char text[most_text];
+  Message message(text, sizeof text);
+  const ssize_t size = recvmsg(fd_, &message.header, MSG_CMSG_CLOEXEC);
+  if (size < 0) return;
+  Descriptors both{-1, -1};
+  const cmsghdr* control = CMSG_FIRSTHDR(&message.header);
+  if (control && control->cmsg_type == SCM_RIGHTS && control->cmsg_len == CMSG_LEN(sizeof both))
+    std::memcpy(both.data(), CMSG_DATA(control), sizeof both);
+  try {
+    const auto all = nlohmann::json::parse(std::string_view(text, static_cast<std::size_t>(size)));
+    if (both[0] < 0) throw std::runtime_error("it brings no connections");
+    Passing stream{all.at("id"), all.at("kind"), all.at("node"), all.at("attempt"), {}, {}};
+    stream.client = {both[0], all.at("client").get<bool>()};
+    stream.call = {both[1], all.at("call").get<bool>()};
+    taken_(stream);
+  } catch (const std::exception& error) {
+    logging::error() << "a stream of the other process can't be taken over: " << error.what();
+    for (const int fd : both)
+      if (fd >= 0) close(fd);
+  }
+}
+
+}  // namespace lemonroute::ops
--- /dev/null
+++ b/src/ops/handover.h
@@ -0,0 +1,31 @@
+// Streams on their way from a process that ends to the one that has taken over.
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "core/types.h"
+#include "net/loop.h"
+
+namespace lemonroute::ops {
+
+// The receiving end: a datagram socket at a path that the processes of one conductor share. The newest has it.
+class Handover {
+ public:
+  using Taken = std::function<void(const Passing&)>;  // the descriptors are the receiver's from then on
+  Handover(net::Loop& loop, const std::string& path, Taken taken);
+  ~Handover();
+  Handover(const Handover&) = delete;
+  Handover& operator=(const Handover&) = delete;
+
+  // Sends a stream to whoever receives at `path`; false: nobody does, or not now. Its descriptors stay open here.
+  static bool send(const std::string& path, const Passing& stream);
+
+ private:
+  void receive();
+  int fd_ = -1;
+  Taken taken_;
+  net::EventPtr event_;
+};
+
+}  // namespace lemonroute::ops
--- a/tests/net/scenario.cpp
+++ b/tests/net/scenario.cpp
@@ -14,6 +14,7 @@
 //   r1 expect nothing              all is quiet
 //   c1 send nothing 5              connects, so many times, and stays silent
 //   front limit 2                  the fronts have so many places; front send drain, front send handover, front close
+//   front send pass                streams are given away, over a socket; the same fronts take them
 //   m1 send call GET /ready        a caller at the management listener, one call a connection; sees status 200
 //   m1 send bytes TEXT             as raw, each byte on its own
 //   core wait 2s                   moves the core's clock on
@@ -22,6 +23,8 @@
 //   c1 send raw TEXT               bytes as they are: \r \n, and $r1 is a node's address; {N} repeats
 // The time of the core is the scenario's alone; the wall clock only bounds how long a step may hang.
 #undef NDEBUG
+#include <unistd.h>
+
 #include <cassert>
 #include <cmath>
 #include <deque>
@@ -35,6 +38,7 @@
 #include "grpc/node_client.h"
 #include "http/front.h"
 #include "http/node_client.h"
+#include "ops/handover.h"
 #include "ops/management.h"
 #include "proto/lemonroute.pb.h"
 
@@ -409,6 +413,7 @@
     to.send({rest[0], unescape(text.substr(text.find(" " + rest[0] + " ") + rest[0].size() + 2))});
   }
   void finish() {
+    unlink(handover_path().c_str());
     settle();
     for (const auto& [name, peer] : peers_)
       if (!peer->seen.empty() && peer->seen.front() != "closed") std::cerr << name << " also saw: " << peer->seen.front() << "\n", std::abort();
@@ -462,6 +467,9 @@
     if (verb == "close") {
       front_->stop_accepting();
       grpc_server_->stop_accepting();
+    } else if (verb == "pass") {
+      settle();
+      core_->pass_streams([](const Passing& stream) { return ops::Handover::send(handover_path(), stream); });
     } else if (verb == "handover") {
       settle();
       front_->hand_over();
@@ -567,7 +575,9 @@
   std::unique_ptr<Conductor> core_ = std::make_unique<Conductor>(settings(), Words{"a"}, Words{"lettura", "scrittura"}, 1, clock_, *nodes_);
   ops::Status status_{*core_};
   ops::Management management_{loop_, "127.0.0.1:0", *core_, status_, [] { return ops::Reloads{}; }};
+  static string handover_path() { return "scenario." + std::to_string(getpid()) + ".streams"; }
   std::unique_ptr<http::Front> front_;
+  ops::Handover handover_{loop_, handover_path(), [this](const Passing& stream) { front_->adopt(stream); }};
   std::unique_ptr<grpc::Front> grpc_front_;
   std::unique_ptr<grpc::Server> grpc_server_;
   std::unique_ptr<discovery::Watch> watch_;
