--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -64,7 +64,7 @@
   Program(const config::Platform& platform, const config::Operator& settings, config::Variables variable)
       : platform_(platform),
         variable_(std::move(variable)),
-        processes_(std::filesystem::temp_directory_path(), platform.name),
+        processes_(std::filesystem::temp_directory_path(), platform.name, platform.listen),
         nodes_(make_nodes(loop_, platform, settings.grpc_nodes)),
         conductor_(platform.settings, platform.zones, platform.kinds, platform.seed, clock_, *nodes_),
         status_(conductor_),
@@ -86,10 +86,12 @@
       agent_ = std::make_unique<ops::AgentCheck>(loop_, settings.agent_check_listen, status_, platform.socket.has_value());
       logging::info() << "agent-check on " << settings.agent_check_listen;
     }
-    if (!platform.management.empty()) {
-      management_ = std::make_unique<ops::Management>(loop_, platform.management, conductor_, status_,
+    const std::string& management =
+        settings.management_listen.empty() ? platform.management : settings.management_listen;
+    if (!management.empty()) {
+      management_ = std::make_unique<ops::Management>(loop_, management, conductor_, status_,
                                                       [this] { return reloads_; });
-      logging::info() << "management on " << platform.management;
+      logging::info() << "management on " << management;
     }
     conductor_.on_change = [this] { changed(); };
     conductor_.update(ListKind::cached, platform.known.version, platform.known.nodes);
--- a/src/config/operator.cpp
+++ b/src/config/operator.cpp
@@ -55,6 +55,7 @@
            to.grpc_nodes = word == "grpc";
          }},
         {"agent_check.listen", address(to.agent_check_listen)},
+        {"management.listen", address(to.management_listen)},
     };
     std::set<std::string> sections;
     for (const auto& [key, take] : keys)
@@ -170,6 +171,11 @@
 [agent_check]
 # For HAProxy's agent-check. Off unless an address is given.
 # listen = "127.0.0.1:9091"
+
+[management]
+# For operators: GET /ready and /metrics, POST /instances/disable?name=ID and /instances/enable?name=ID. Where it is
+# left out, the platform's file (mgmt) or BALANCER_MGMT says; without any of them it is off.
+# listen = "127.0.0.1:9092"
 )";
 }
 
--- a/src/config/operator.h
+++ b/src/config/operator.h
@@ -17,6 +17,7 @@
   std::int64_t grpc_connections = 64;
   bool grpc_nodes = false;
   std::string agent_check_listen;  // empty: off
+  std::string management_listen;   // empty: where the platform says, if it does
 };
 
 // A fault in a configuration file, for a person to find: FILE:LINE: KEY: what is wrong.
--- a/src/ops/handover.cpp
+++ b/src/ops/handover.cpp
@@ -5,6 +5,7 @@
 #include <sys/un.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <cstring>
@@ -92,11 +93,12 @@
   if (size < 0) return;
   Descriptors both{-1, -1};
   const cmsghdr* control = CMSG_FIRSTHDR(&message.header);
-  if (control && control->cmsg_type == SCM_RIGHTS && control->cmsg_len == CMSG_LEN(sizeof both))
-    std::memcpy(both.data(), CMSG_DATA(control), sizeof both);
+  // Guards against a process short of descriptors, which gets only the first of them: that one is closed again.
+  if (control && control->cmsg_type == SCM_RIGHTS)
+    std::memcpy(both.data(), CMSG_DATA(control), std::min(control->cmsg_len - CMSG_LEN(0), sizeof both));
   try {
     const auto all = nlohmann::json::parse(std::string_view(text, static_cast<std::size_t>(size)));
-    if (both[0] < 0) throw std::runtime_error("it brings no connections");
+    if (both[1] < 0) throw std::runtime_error("it brings no connections");
     Passing stream{all.at("id"), all.at("kind"), all.at("node"), all.at("attempt"), {}, {}};
     stream.client = {both[0], all.at("client").get<bool>()};
     stream.call = {both[1], all.at("call").get<bool>()};
--- a/src/ops/processes.h
+++ b/src/ops/processes.h
@@ -12,9 +12,9 @@
 
 class Processes {
  public:
-  // They find each other by the conductor's name, in the folder that they share.
-  Processes(const std::filesystem::path& folder, const std::string& name)
-      : stem_(folder / ("lemonroute-" + plain(name))), lock_(stem_.string() + ".lock") {
+  // They find each other by the conductor's name and its clients' address, in the folder that they share.
+  Processes(const std::filesystem::path& folder, const std::string& name, const std::string& listen)
+      : stem_(folder / ("lemonroute-" + plain(name + "-" + listen))), lock_(stem_.string() + ".lock") {
     lock_.share(runs);
   }
   void serves(bool on) { on ? void(lock_.share(takes_clients)) : lock_.drop(takes_clients); }
--- a/tests/net/tools_test.cpp
+++ b/tests/net/tools_test.cpp
@@ -9,6 +9,7 @@
 #include <cassert>
 #include <csignal>
 #include <cstdio>
+#include <filesystem>
 #include <fstream>
 #include <iostream>
 #include <sstream>
@@ -76,6 +77,8 @@
       {"[http]\nlisten = [\"127.0.0.1:1\", 7]\n", ":2: ", "http.listen: "},
       {"[grpc]\nlisten = \"127.0.0.1:1\"\n[agent_check]\nlisten = \"127.0.0.1:1\"\n", ":", "listen: "},
       {"[nodes]\nprotocol = \"smoke\"\n", ":2: ", "nodes.protocol: "},
+      {"[management]\nlisten = \"door\"\n", ":2: ", "management.listen: "},
+      {"[management]\nlisten = \"127.0.0.1:1\"\n[grpc]\nlisten = \"127.0.0.1:1\"\n", ":", "listen: "},
       {"application = \"a\"\n= 3\n", ":2: ", ""},
       {"[odd]\nx = 1\n", ":1: ", "odd: "},
   };
@@ -91,9 +94,9 @@
   assert(run({"serve", "--config", write_file("a = 1\n")}).code == 1);
 }
 
-string platform_file(const string& discovery) {
-  return write_file(R"({"name":"n1","listen":"127.0.0.1:0","discovery":")" + discovery + R"(",
-    "known":{"generation":1,"reset":true,"instances":[]},
+string platform_file(const string& discovery, const string& listen = "127.0.0.1:0", const string& nodes = "[]") {
+  return write_file(R"({"name":"n1","listen":")" + listen + R"(","discovery":")" + discovery + R"(",
+    "known":{"generation":1,"reset":true,"instances":)" + nodes + R"(},
     "settings":{"zones":["a"],"kinds":["r"],"siblings":1,"extra":{"kind-role":["read"],"release-us":1000000},
       "lanes":[{"name":"k","idempotency":"read_like","slo-us":1500000,"hard-limit-us":7500000}],
       "limits":{"max-attempts":6,"conn-idle-us":15000000,"connect-timeout-us":250000},
@@ -162,6 +165,12 @@
   string address;
 };
 
+// A port that nobody listens on at the moment.
+std::uint16_t free_port() {
+  Door door;
+  return static_cast<std::uint16_t>(std::stoi(door.address.substr(door.address.find(':') + 1)));
+}
+
 // The program itself: it starts from the platform's file, follows discovery to where the replaced file says on
 // SIGHUP, outlives a file that is no good, and ends with 0 on SIGTERM.
 void start_and_end() {
@@ -174,6 +183,7 @@
     dup2(ends[1], STDERR_FILENO);
     setenv("BALANCER_CONFIG", path.c_str(), 1);
     setenv("BALANCER_DISCOVERY", old_door.address.c_str(), 1);
+    setenv("TMPDIR", ".", 1);
     std::_Exit(cli::run({"serve"}, std::cout, std::cerr));
   }
   close(ends[1]);
@@ -200,6 +210,102 @@
   close(ends[0]);
 }
 
+// One process of the program, with what it logs. Without an address for management it has none.
+struct Process {
+  Process(const string& config, int socket, const string& management) {
+    int ends[2];
+    assert(pipe(ends) == 0);
+    if ((pid = fork()) == 0) {
+      dup2(ends[1], STDERR_FILENO);
+      setenv("BALANCER_CONFIG", config.c_str(), 1);
+      setenv("BALANCER_SOCKET_FD", std::to_string(socket).c_str(), 1);
+      setenv("BALANCER_MGMT", management.c_str(), 1);
+      setenv("TMPDIR", ".", 1);
+      std::_Exit(cli::run({"serve"}, std::cout, std::cerr));
+    }
+    close(ends[1]);
+    out = ends[0];
+  }
+  ~Process() { close(out); }
+  bool logged(const string& text) {
+    char c = 0;
+    while (log.find(text) == string::npos && read(out, &c, 1) == 1) log += c;
+    return log.find(text) != string::npos;
+  }
+  int ended() {
+    int status = 0;
+    while (logged("\1")) {
+    }
+    assert(waitpid(pid, &status, 0) == pid && WIFEXITED(status));
+    return WEXITSTATUS(status);
+  }
+  pid_t pid = 0;
+  int out = -1;
+  string log;
+};
+
+// What a caller at `address` is told, the first line of it.
+string call(const string& address, const string& line) {
+  const net::Endpoint to(address);
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  string answer;
+  if (connect(fd, to.address(), static_cast<socklen_t>(to.length())) == 0) {
+    const string text = line + " HTTP/1.1\r\nConnection: close\r\n\r\n";
+    assert(write(fd, text.data(), text.size()) == static_cast<ssize_t>(text.size()));
+    char c = 0;
+    while (read(fd, &c, 1) == 1) answer += c;
+  }
+  close(fd);
+  return answer.substr(0, answer.find('\r'));
+}
+
+// A new process takes over on the inherited socket: bans hold for both, the old one ends with 0, and nobody who
+// connects is turned away. One that can't start changes nothing.
+void upgrade() {
+  Door clients, spare;  // what `spare` listens on is free again once it is closed
+  const string ban = "/instances/disable?name=w1", old_door = "127.0.0.1:" + std::to_string(free_port()),
+               new_door = "127.0.0.1:" + std::to_string(free_port());
+  const int inherited = dup(clients.fd);
+  const string path = platform_file("127.0.0.1:1", clients.address, R"([{"instanceId":"w1","hostPort":"127.0.0.1:1","lifecycle":"active"}])");
+  Process old_one(path, inherited, old_door);
+  assert(old_one.logged("serves on"));
+  assert(call(old_door, "GET /ready").find("200") != string::npos);
+  assert(call(old_door, "POST " + ban).find("200") != string::npos);
+  const int flags = fcntl(clients.fd, F_GETFD);
+
+  for (const int wrong : {old_one.out, spare.fd, 4711}) {
+    Process broken(path, wrong, new_door);
+    assert(broken.ended() == 1 && broken.log.find("lemonroute: the inherited socket, descriptor") != string::npos);
+  }
+  assert(call(clients.address, "GET /healthz").find("200") != string::npos);
+
+  Process new_one(path, inherited, new_door);
+  assert(new_one.logged("serves on"));
+  assert(call(new_door, "GET /ready").find("200") != string::npos);
+  assert(new_one.log.find("out by hand") != string::npos || call(new_door, "POST /instances/enable?name=w1").find("200") != string::npos);
+  assert(call(new_door, "POST " + ban).find("200") != string::npos);
+  kill(new_one.pid, SIGHUP);  // in the middle of it
+  kill(old_one.pid, SIGTERM);
+  assert(old_one.ended() == 0);
+  assert(old_one.log.find("another process takes the clients") != string::npos);
+  assert(new_one.logged("no other process of this conductor runs"));
+  assert(fcntl(clients.fd, F_GETFD) == flags);
+  for (int i = 0; i < 3; ++i) assert(call(clients.address, "GET /healthz").find("200") != string::npos);
+  assert(call(old_door, "GET /ready").empty());
+
+  // Without a successor it drains as ever, and the socket stays open with its other holder.
+  kill(new_one.pid, SIGTERM);
+  assert(new_one.logged("SIGTERM: draining"));
+  assert(call(new_door, "GET /ready").find("503") != string::npos);
+  assert(new_one.ended() == 0);
+  int listens = 0;
+  socklen_t size = sizeof listens;
+  assert(getsockopt(clients.fd, SOL_SOCKET, SO_ACCEPTCONN, &listens, &size) == 0 && listens);
+  close(inherited);
+  for (const auto& file : std::filesystem::directory_iterator("."))
+    if (file.path().filename().string().starts_with("lemonroute-n1-")) std::filesystem::remove(file.path());
+}
+
 struct Answer : http::Listener {
   void head(const http::Head&) override {}
   void body(std::string_view) override {}
@@ -414,6 +520,7 @@
   faults();
   platform_faults();
   start_and_end();
+  upgrade();
   second_answer();
   old_report<HttpStreamer, http::NodeClient, http::ClientLimits>();
   old_report<GrpcStreamer, lemonroute::grpc::NodeClient, lemonroute::grpc::Session::Limits>();
