Give the module and the simulator's wire folders of their own

Need: decide.cpp, wire*, settings* and wirehost.cpp lay loose beside the parts, so the layout did not show what the module is and what hosts it. No line of code differs otherwise.

--- a/src/config/platform.cpp
+++ b/src/config/platform.cpp
@@ -6,7 +6,7 @@
 #include <sstream>
 
 #include "net/connection.h"
-#include "settings.h"
+#include "wire/settings.h"
 
 namespace lemonroute::config {
 namespace {
--- a/src/settings.cpp
+++ b/src/wire/settings.cpp
@@ -1,4 +1,4 @@
-#include "settings.h"
+#include "wire/settings.h"
 
 #include <charconv>
 #include <cmath>
--- a/src/wire.cpp
+++ b/src/wire/wire.cpp
@@ -1,4 +1,4 @@
-#include "wire.h"
+#include "wire/wire.h"
 
 #include <cstring>
 #include <limits>
--- a/src/wirehost.cpp
+++ b/src/wire/wirehost.cpp
@@ -3,8 +3,8 @@
 #include <exception>
 #include <map>
 
-#include "settings.h"
-#include "wire.h"
+#include "wire/settings.h"
+#include "wire/wire.h"
 
 namespace {
 
--- a/tests/adapter_test.cpp
+++ b/tests/adapter_test.cpp
@@ -8,7 +8,7 @@
 #include <fstream>
 #include <sstream>
 
-#include "wire.h"
+#include "wire/wire.h"
 
 namespace lemonroute::wire {
 namespace {
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -1,4 +1,4 @@
-#include "settings.h"
+#include "wire/settings.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -1,5 +1,5 @@
 // The codec: the wire page's worked examples, both ways, and damaged frames.
-#include "wire.h"
+#include "wire/wire.h"
 
 #include <gtest/gtest.h>
 
