Let the module tell what it believed of each candidate when it chose

Need: a failing expectation must say why a node was chosen, told by the module itself and not computed a second time. Change: Scheduler::explain hands out each choice with its candidates (match, rate, unread, load, failing, score, why left out) and each early refusal with its figures; the conditions under which a host can't be chosen stand in one place now. The core looks nodes up by name in an index instead of a walk over all.

--- a/include/lemonroute/scheduler.h
+++ b/include/lemonroute/scheduler.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <variant>
@@ -186,6 +187,32 @@
 using Action = std::variant<Send, Refuse, Fail, Cancel, Sleep, Probe, HangUp, Tell, Log, Subscribe, Snapshot,
                             Evict, SetAside, Release>;
 
+// ---- Explanations ----
+// What the module believed of one host at the moment of a choice.
+struct Candidate {
+  HostId host = 0;
+  const char* left_out = nullptr;  // why it could not be chosen; null: it could
+  double match = 0, credit = 0;    // tokens of the prompt kept there: as recorded, and as counted (guessed at a home)
+  double rate = 0;                 // microseconds a token
+  double unread = 0;               // tokens waiting there
+  double load = 0, slowness = 1;   // as a writer: share of memory, latency against the usual
+  double failing = 0;              // share of recent attempts that failed, 0 to 1
+  Micros wait{}, read{};           // the estimate for this request, at a reader
+  int near = 0;                    // to the reader that holds the state: 1 in its zone, 2 in its cell
+  double score = 0;                // the lowest wins (of writers, the nearest of those near it)
+};
+// One choice, as it was made. `refused`: the request was turned away before any read, for the figures given.
+struct Choice {
+  RequestId id = 0;
+  Micros at{};
+  Role stage = Role::read;
+  HostId avoided = 0, chosen = 0;  // 0: none
+  bool refused = false;
+  Micros wait{}, most_wait{};
+  double load = 0, most_load = 0;
+  std::vector<Candidate> candidates{};
+};
+
 // One dispatcher. Time never goes back between calls; the same calls give the same actions.
 class Scheduler {
  public:
@@ -195,6 +222,8 @@
   Scheduler& operator=(Scheduler&&) noexcept;
   void handle(Micros now, const Event& event, std::vector<Action>& actions);  // appends to actions
   void retune(Settings settings);  // what was learned stays; requests under way keep the terms they began with
+  // From now on `to` hears of each choice, before the action that comes of it. An empty one ends that.
+  void explain(std::function<void(const Choice&)> to);
   std::vector<HostId> avoided(Micros now) const;  // listed hosts that are left out by choice
 
  private:
--- a/src/core/conductor.cpp
+++ b/src/core/conductor.cpp
@@ -116,6 +116,7 @@
   for (const auto& item : listed) {
     const HostId id = id_of(item.name);
     Node& node = known_[id];
+    ids_[item.name] = id;
     node.id = id;
     node.name = item.name;
     if (!item.address.empty()) node.address = item.address;
@@ -139,6 +140,7 @@
     const bool gone = node.second.entry.phase == Phase::gone;
     if (gone && std::find(left_.begin(), left_.end(), node.second.name) == left_.end())
       left_.push_back(node.second.name);
+    if (gone) ids_.erase(node.second.name);
     return gone;
   });
   while (left_.size() > most_left) left_.pop_front();
@@ -215,13 +217,17 @@
 }
 
 HostId Conductor::id_of(const std::string& name) const {
-  for (const auto& [id, node] : known_)
-    if (node.name == name) return id;
+  if (const auto known = ids_.find(name); known != ids_.end()) return known->second;
   auto id = static_cast<HostId>(hash_of(name));
   while (known_.count(id)) ++id;
   return id;
 }
 
+std::string Conductor::name_of(HostId id) const {
+  const auto found = known_.find(id);
+  return found == known_.end() ? "" : found->second.name;
+}
+
 std::size_t Conductor::ready_nodes() const {
   return static_cast<std::size_t>(
       std::count_if(known_.begin(), known_.end(), [](const auto& node) { return node.second.ready(); }));
--- a/src/core/conductor.h
+++ b/src/core/conductor.h
@@ -43,6 +43,9 @@
   void keep_bans(std::string path, LockFile& lock);  // takes those that are there
   void refresh_bans();                               // takes what another process of this conductor has changed
   Figures figures() const;
+  std::string name_of(HostId id) const;  // of a listed node; "" for any other
+  // From now on `to` hears of each choice of the module's, before what comes of it. An empty one ends that.
+  void explain(std::function<void(const Choice&)> to) { scheduler_.explain(std::move(to)); }
 
   // ---- for fronts ----
   enum class Taken { yes, unknown_kind, duplicate };
@@ -116,6 +119,7 @@
   std::map<HostId, Node> known_;
   std::uint32_t version_ = 0;  // of the last list
   Bans bans_;
+  std::unordered_map<std::string, HostId> ids_;  // of the known ones, by name
   std::deque<std::string> left_;  // names of nodes that have gone, the last one at the back
   std::unordered_map<RequestId, std::unique_ptr<Entry>> requests_;
   std::unordered_map<std::string, RequestId> by_name_;
--- a/src/module/decide.cpp
+++ b/src/module/decide.cpp
@@ -209,6 +209,8 @@
   Micros reading_at{};
   Learned coming{0, {}, true};  // tokens that this instance has being read, in the mean
   int ask_failures = 0;
+  std::function<void(const Choice&)> told_to;
+  Choice choice;
 
   void act(Action action) { actions->push_back(std::move(action)); }
   void say(std::string line) { act(Log{std::move(line)}); }
@@ -580,7 +582,13 @@
     const double yield = 0.5 + 0.5 * std::sqrt(value(job));
     const double slack = std::max(job.aim - read, job.aim / 2);
     // Danger: an instance that took waits to be long refuses all, and learns no better. Its evidence fades.
-    return wait * any_rate.trust(now, fade) > wait_margin * slack * yield || load > full_at * yield;
+    const double counted = wait * any_rate.trust(now, fade);
+    const bool refused = counted > wait_margin * slack * yield || load > full_at * yield;
+    if (refused && told_to)
+      told_to(Choice{.id = job.request.id, .at = now, .refused = true, .wait = micros(counted),
+                     .most_wait = micros(wait_margin * slack * yield), .load = load,
+                     .most_load = full_at * yield});
+    return refused;
   }
 
   Micros hint(double wait) const {
@@ -615,6 +623,41 @@
     return (1 - trust) * near_margin * unit(mix(job.request.id ^ mix(host.entry.host)));
   }
 
+  // Why a host can't be chosen now, in the words of an explanation; nothing if it can.
+  const char* unfit(const Job& job, Host& host, Role stage, HostId avoid) {
+    if (!host.listed) return "not ready in the list";
+    if (left_out(host)) return "set aside, attempts fail there";
+    if (host.role == (stage == Role::read ? Role::write : Role::read)) return "of the other role";
+    if (host.entry.host == avoid) return "the attempt before was there";
+    const bool answers = stage == Role::write || host.role == Role::both;
+    if (answers && !may_serve(job, host)) return "may not do what may have run";
+    return cold_room(host, job.prompt) ? nullptr : "cold, its part is used up";
+  }
+  // What the choice believes, for whoever asked to be told; without that these cost a comparison each.
+  Choice* begin_choice(const Job& job, Role stage, HostId avoid) {
+    if (!told_to) return nullptr;
+    choice = Choice{.id = job.request.id, .at = now, .stage = stage, .avoided = avoid};
+    return &choice;
+  }
+  void believe(Choice& to, Host& host, const char* left_out, double match) {
+    const double per_token = rate(host);
+    to.candidates.push_back({.host = host.entry.host, .left_out = left_out, .match = match, .rate = per_token,
+                             .unread = unread(host, per_token), .load = load(host),
+                             .slowness = slowness(host), .failing = failing(host)});
+  }
+  void weigh(Candidate& to, const Pick& pick) const {
+    to.credit = pick.credit;
+    to.wait = micros(pick.wait);
+    to.read = micros(pick.read);
+    to.near = pick.near;
+    to.score = pick.score;
+  }
+  Pick end_choice(const Pick& best) {
+    choice.chosen = best.found ? best.host : 0;
+    if (told_to) told_to(choice);
+    return best;
+  }
+
   // Algorithm 1. The missing prefix is charged as read time in both branches, since kept texts can't be
   // moved; the second one differs in that the reader becomes a new home, which `record` does at the send.
   Pick pick_reader(const Job& job, HostId avoid = 0) {
@@ -625,11 +668,11 @@
     for (const Role role : {Role::read, Role::both})
       weight[role] = reading_weight + crowding * std::min(1.0, pool(role).wait / std::max(1.0, job.aim));
     Pick best;
+    Choice* told = begin_choice(job, Role::read, avoid);
     for (auto& [id, host] : hosts) {
-      if (!host.listed || left_out(host) || host.role == Role::write || id == avoid ||
-          !cold_room(host, job.prompt))
-        continue;
-      if (host.role == Role::both && !may_serve(job, host)) continue;
+      const char* no = unfit(job, host, Role::read, avoid);
+      if (told) believe(*told, host, no, prefix_len(host, job));
+      if (no) continue;
       Pick pick{.host = id, .credit = prefix_len(host, job), .found = true};
       pick.known = pick.credit;
       if (std::count(at_home.begin(), at_home.end(), id))
@@ -642,12 +685,14 @@
       if (job.tried(id)) pick.score += job.aim;
       if (host.role == Role::both) {  // it would answer too: its answers' slowness and memory count
         const double held = load(host) + job.prompt / std::max(1.0, host.memory);
+        if (told && held > full_at) told->candidates.back().left_out = "its memory is full";
         if (held > full_at) continue;
         pick.score += (slowness(host) - 1 + held) * job.aim / 4;
       }
+      if (told) weigh(told->candidates.back(), pick);
       if (pick.score < best.score) best = pick;
     }
-    return best;
+    return end_choice(best);
   }
 
   Pick pick_writer(const Job& job, HostId avoid = 0) {
@@ -655,15 +700,17 @@
     Pick best;
     double least = best.score;
     std::vector<Pick> all;
+    Choice* told = begin_choice(job, Role::write, avoid);
     for (auto& [id, host] : hosts) {
-      if (!host.listed || left_out(host) || host.role == Role::read || id == avoid || !may_serve(job, host))
-        continue;
-      if (!cold_room(host, job.prompt)) continue;
+      const char* no = unfit(job, host, Role::write, avoid);
+      if (told) believe(*told, host, no, 0);
+      if (no) continue;
       Pick pick{.host = id, .found = true};
       pick.score = load(host) * slowness(host) + failing(host) + (job.tried(id) ? 1 : 0) +
                    unsure(job, host, host.others.trust(now, fade));
       if (from != hosts.end() && host.entry.zone == from->second.entry.zone)
         pick.near = host.entry.cell == from->second.entry.cell ? 2 : 1;
+      if (told) weigh(told->candidates.back(), pick);
       all.push_back(pick);
       least = std::min(least, pick.score);
     }
@@ -672,7 +719,7 @@
       if (pick.score <= least + margin &&
           std::pair(-pick.near, pick.score) < std::pair(-best.near, best.score))
         best = pick;
-    return best;
+    return end_choice(best);
   }
 
   // ---- The life of a request ----------------------------------------------------------------------------
@@ -952,6 +999,7 @@
 Scheduler::Scheduler(Scheduler&&) noexcept = default;
 Scheduler& Scheduler::operator=(Scheduler&&) noexcept = default;
 
+void Scheduler::explain(std::function<void(const Choice&)> to) { core_->told_to = std::move(to); }
 void Scheduler::retune(Settings settings) { core_->take(std::move(settings)); }
 
 std::vector<HostId> Scheduler::avoided(Micros now) const {
