--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -59,17 +59,20 @@
   return options;
 }
 
+std::string nodes_from(const config::Platform& platform) {
+  return platform.discovery.empty() ? "fixed nodes" : "discovery at " + platform.discovery;
+}
+
 class Program {
  public:
-  Program(const config::Platform& platform, const config::Operator& settings, config::Variables variable)
+  Program(const config::Platform& platform, const config::Operator& settings, Reload again)
       : platform_(platform),
-        variable_(std::move(variable)),
+        read_again_(std::move(again)),
         processes_(std::filesystem::temp_directory_path(), platform.name, platform.listen),
         nodes_(make_nodes(loop_, platform, settings.grpc_nodes)),
         conductor_(platform.settings, platform.zones, platform.kinds, platform.seed, clock_, *nodes_),
         status_(conductor_),
         front_(loop_, conductor_, front_options(platform, settings)),
-        watch_(loop_, platform.discovery, conductor_),
         due_(loop_, [this] { conductor_.run_due(); }),
         window_(loop_, [this] { stop_accepting(); }),
         ended_(loop_, [this] { poll_end(); }),
@@ -97,7 +100,10 @@
     conductor_.on_change = [this] { changed(); };
     conductor_.update(ListKind::cached, platform.known.version, platform.known.nodes);
     conductor_.keep_bans(processes_.file(".bans"), processes_.lock());
-    watch_.start();
+    if (!platform.discovery.empty()) {
+      watch_ = std::make_unique<discovery::Watch>(loop_, platform.discovery, conductor_);
+      watch_->start();
+    }
     look();
     if (platform.socket)
       handover_ = std::make_unique<ops::Handover>(loop_, processes_.file(".streams"),
@@ -181,15 +187,19 @@
   // end what serves.
   void reload() {
     try {
-      const auto platform = config::reload_platform(variable_);
+      const auto platform = read_again_();
+      // Where nodes come from is settled at the start.
+      if (platform.discovery.empty() == (watch_ != nullptr))
+        throw config::ConfigError("fixed nodes and discovery can't be exchanged without a restart");
       logging::info() << "SIGHUP: the configuration is taken, " << platform.settings.classes.size()
-                      << " classes, discovery at " << platform.discovery;
+                      << " classes, " << nodes_from(platform);
       platform_.settings = platform.settings;
       platform_.connection_idle = platform.connection_idle;
       nodes_->limit(node_limits(platform_, parts()));
       conductor_.retune(platform.settings, platform.zones, platform.kinds);
-      if (std::exchange(platform_.discovery, platform.discovery) != platform.discovery)
-        watch_.move(platform.discovery);
+      if (!watch_) conductor_.update(ListKind::full, ++platform_.known.version, platform.known.nodes);
+      else if (std::exchange(platform_.discovery, platform.discovery) != platform.discovery)
+        watch_->move(platform.discovery);
       ++reloads_.loaded;
     } catch (const config::ConfigError& error) {
       ++reloads_.invalid;
@@ -211,7 +221,7 @@
   }
 
   config::Platform platform_;
-  const config::Variables variable_;
+  const Reload read_again_;
   ops::Processes processes_;
   SystemClock clock_;
   net::Loop loop_;
@@ -219,7 +229,7 @@
   Conductor conductor_;
   ops::Status status_;
   http::Front front_;
-  discovery::Watch watch_;
+  std::unique_ptr<discovery::Watch> watch_;  // none where the nodes are fixed
   net::Timer due_, window_, ended_, look_, pass_;
   net::Signal term_, interrupt_, hang_up_;
   std::unique_ptr<Grpc> grpc_;
@@ -232,14 +242,14 @@
 
 }  // namespace
 
-int serve(const config::Platform& platform, const config::Operator& settings, config::Variables variable) {
+int serve(const config::Platform& platform, const config::Operator& settings, Reload reload) {
   std::signal(SIGPIPE, SIG_IGN);
   logging::set_level(settings.log_level);
   rlimit limit{};
   getrlimit(RLIMIT_NOFILE, &limit);
-  Program program(platform, settings, std::move(variable));
+  Program program(platform, settings, std::move(reload));
   logging::info() << settings.application << ' ' << platform.name << " serves on " << platform.listen
-                  << ", discovery at " << platform.discovery << ", " << limit.rlim_cur << " descriptors";
+                  << ", " << nodes_from(platform) << ", " << limit.rlim_cur << " descriptors";
   program.run();
   return 0;
 }
--- a/src/config/operator.cpp
+++ b/src/config/operator.cpp
@@ -2,10 +2,10 @@
 
 #include <toml++/toml.h>
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <set>
-#include <sstream>
 #include <stdexcept>
 
 #include "net/connection.h"
@@ -61,6 +61,8 @@
     for (const auto& [key, take] : keys)
       if (const auto dot = key.find('.'); dot != std::string::npos) sections.insert(key.substr(0, dot));
 
+    // Read elsewhere: config/installation.cpp.
+    const std::set<std::string> installation{"serve", "settings", "kinds", "classes", "fleet"};
     const auto one = [&](const std::string& key, const toml::node& node) {
       const auto found = keys.find(key);
       if (found != keys.end()) found->second(key, node);
@@ -68,6 +70,7 @@
     };
     for (const auto& [name, node] : root) {
       const std::string key(name.str());
+      if (installation.count(key)) continue;
       const toml::table* section = node.as_table();
       if (!section || !sections.count(key)) {
         one(key, node);
@@ -114,26 +117,38 @@
 
 }  // namespace
 
-std::string Fault::text() const {
-  std::ostringstream line_text;
-  line_text << file;
-  if (line > 0) line_text << ':' << line;
-  line_text << ": ";
-  if (!key.empty()) line_text << key << ": ";
-  line_text << what;
-  return line_text.str();
-}
-
 Operator read_operator(const std::string& path, std::vector<Fault>& faults) {
   Operator result;
-  try {
-    Reader(path, faults).read(toml::parse_file(path), result);
-  } catch (const toml::parse_error& error) {
-    faults.push_back({path, error.source().begin.line, "", std::string(error.description())});
-  }
+  const auto root = parse_toml(path, faults);
+  if (!root) return result;
+  Reader(path, faults).read(*root, result);
+  Section file(*root, path, "", faults);
+  result.installation = read_installation(file);
   return result;
 }
 
+void check_classes(const Operator& settings, const std::string& path, const Platform& platform,
+                   std::vector<Fault>& faults) {
+  for (const auto& [name, line] : settings.installation.classes) {
+    const auto& known = platform.settings.classes;
+    if (std::any_of(known.begin(), known.end(), [&name = name](auto& one) { return one.name == name; })) continue;
+    std::string all;
+    for (const auto& one : known) all += (all.empty() ? "" : ", ") + one.name;
+    faults.push_back({path, line, "classes." + name, "is no class of the platform's, which knows " + all});
+  }
+}
+
+void check_alone(const Operator& settings, const std::string& path, std::vector<Fault>& faults) {
+  const Installation& in = settings.installation;
+  const auto need = [&](bool there, const char* key, const char* what) {
+    if (!there) faults.push_back({path, 0, key, what});
+  };
+  need(!in.platform.listen.empty(), "serve.listen", "is missing, and no platform's file is given");
+  need(!in.classes.empty(), "classes", "is missing, and no platform's file is given");
+  need(!in.platform.kinds.empty(), "kinds", "is missing, and no platform's file is given");
+  need(in.fixed || !in.platform.discovery.empty(), "fleet", "is missing, and no serve.discovery is given");
+}
+
 std::string operator_template(const std::string& application) {
   std::string quoted;
   for (const char c : application) {
@@ -176,6 +191,49 @@
 # For operators: GET /ready and /metrics, POST /instances/disable?name=ID and /instances/enable?name=ID. Where it is
 # left out, the platform's file (mgmt) or BALANCER_MGMT says; without any of them it is off.
 # listen = "127.0.0.1:9092"
+
+# ---- Without a platform ----
+# Where a platform's file is given (BALANCER_CONFIG, or platform.config above), it wins in all that follows, and
+# [classes.NAME] may only name classes that it knows. Without one, all of this is needed.
+
+# [serve]
+# name = "estratti-1"
+# listen = "127.0.0.1:8000"
+# sockets = 1024              # most descriptors
+# discovery = "127.0.0.1:8500"  # instead of [[fleet]]
+
+# [settings]
+# max_attempts = 4            # of a request, 1 to 6
+# siblings = 1                # conductors that share the nodes, this one among them; me is its number from 0
+# connect_timeout = "250ms"
+# connection_idle = "8s"      # nodes close connections idle for so long
+# max_retry_after = "2s"
+# cold_for = "12s"            # how long a started node is cold; cold_from is its share of strength at the start
+# cold_from = 0.25
+# fall_window = "1s"          # sent more than fall_multiple times its strength for so long, a cold node topples
+# fall_multiple = 2.5
+# report_columns = ["active", "waiting", "x0", "x1"]
+# report_memory = "x0"
+# report_unread = "x1"
+
+# [kinds.reader]
+# role = "read"               # read, write or both
+# tokens = 200000             # its memory
+
+# [classes.estratto]
+# effect = "safe"             # safe, keyed (with group and window) or unsafe: what doing it twice would do
+# aim = "1500ms"              # to the first token; aim_per_1000_tokens is added for the prompt's length
+# deadline = "6s"             # the client gives up then
+# aim_per_1000_tokens = "40ms"
+# token_aim = "60ms"
+# worth = 1.0
+
+# [[fleet]]
+# name = "r1"
+# address = "127.0.0.1:7001"
+# kind = "reader"
+# zone = "a"
+# cell = 1
 )";
 }
 
--- a/src/config/operator.h
+++ b/src/config/operator.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "base/log.h"
+#include "config/installation.h"
 
 namespace lemonroute::config {
 
@@ -18,19 +19,18 @@
   bool grpc_nodes = false;
   std::string agent_check_listen;  // empty: off
   std::string management_listen;   // empty: where the platform says, if it does
-};
-
-// A fault in a configuration file, for a person to find: FILE:LINE: KEY: what is wrong.
-struct Fault {
-  std::string file;
-  std::size_t line = 0;  // 0 = of the file as a whole
-  std::string key, what;
-  std::string text() const;
+  Installation installation;       // what holds where no platform's file speaks
 };
 
 // All faults at once; the result is of use only if there are none.
 Operator read_operator(const std::string& path, std::vector<Fault>& faults);
 
+// Classes that this file names and the platform does not know.
+void check_classes(const Operator& settings, const std::string& path, const Platform& platform,
+                   std::vector<Fault>& faults);
+// What is missing for a start without a platform's file.
+void check_alone(const Operator& settings, const std::string& path, std::vector<Fault>& faults);
+
 // A commented file with every key, for the application named.
 std::string operator_template(const std::string& application);
 
