Choose by the cold budget that the send checks, and refuse nothing beside a warm node

Cause: found by an expectation. The choice asked whether a cold node has room for the prompt, the send whether it has room for the class's usual work. Change: both ask by the same figure.

--- a/src/module/decide.cpp
+++ b/src/module/decide.cpp
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <tuple>
 #include <utility>
 
 #include "lemonroute/scheduler.h"
@@ -531,6 +532,7 @@
   // ---- Admission ----------------------------------------------------------------------------------------
 
   const ClassSettings& cls(const Job& job) const { return *job.terms; }
+  double work_of(const Job& job) { return std::max(class_work[cls(job).name].value, job.prompt); }
   std::shared_ptr<const ClassSettings> terms(std::uint16_t cls) const {
     static const auto unknown = std::make_shared<const ClassSettings>(ClassSettings{
         "", Effect::unsafe, Group::cell, seconds(1), seconds(1), {}, {}, {}, 0, 0, 1, true});
@@ -631,7 +633,8 @@
     if (host.entry.host == avoid) return "the attempt before was there";
     const bool answers = stage == Role::write || host.role == Role::both;
     if (answers && !may_serve(job, host)) return "may not do what may have run";
-    return cold_room(host, job.prompt) ? nullptr : "cold, its part is used up";
+    // By the send's own figure: what passes here and fails there is refused, where another host would do.
+    return cold_room(host, work_of(job)) ? nullptr : "cold, its part is used up";
   }
   // What the choice believes, for whoever asked to be told; without that these cost a comparison each.
   Choice* begin_choice(const Job& job, Role stage, HostId avoid) {
@@ -646,11 +649,8 @@
                              .slowness = slowness(host), .failing = failing(host)});
   }
   void weigh(Candidate& to, const Pick& pick) const {
-    to.credit = pick.credit;
-    to.wait = micros(pick.wait);
-    to.read = micros(pick.read);
-    to.near = pick.near;
-    to.score = pick.score;
+    std::tie(to.credit, to.near, to.score) = std::tuple(pick.credit, pick.near, pick.score);
+    std::tie(to.wait, to.read) = std::pair(micros(pick.wait), micros(pick.read));
   }
   Pick end_choice(const Pick& best) {
     choice.chosen = best.found ? best.host : 0;
@@ -736,7 +736,7 @@
     if (job.out() > 0 && (!s.second_copies || cls(job).effect != Effect::safe)) return false;
     if (serves && !may_serve(job, host)) return false;  // rule 2
     auto& work = class_work[cls(job).name];
-    if (!cold_room(host, std::max(work.value, job.prompt))) return false;  // rule 4
+    if (!cold_room(host, work_of(job))) return false;  // rule 4
     Attempt a;
     a.host = pick.host;
     a.sent = now;
--- a/tests/failure_test.cpp
+++ b/tests/failure_test.cpp
@@ -210,6 +210,33 @@
   EXPECT_EQ(late.size(), 4u) << "half of all arrivals would half fill all four readers";
 }
 
+// Found by an expectation: with prompts shorter than the class's usual work the choice let a cold reader pass and the
+// send did not, so the request was refused while a warm reader stood idle.
+TEST(FailureCold, WhatTheColdReaderMayNotTakeGoesToTheWarmOne) {
+  Bed bed;
+  bed.list({host(1, reader_kind), host(9, writer_kind)});
+  for (int i = 0; i < 20; ++i) {
+    bed.serve(bed.request(4000), 160ms);
+    bed.now += 100ms;
+  }
+  auto cold = host(2, reader_kind);
+  cold.started = bed.now - 1s;
+  bed.list({cold}, ListKind::delta);
+  int at_warm = 0;
+  for (int i = 0; i < 24; ++i) {  // some of them have their home at the cold one
+    const Request r = bed.request(500);
+    const HostId reader = bed.sent(bed.feed(r));
+    ASSERT_NE(reader, 0u) << "request " << i << " was refused";
+    at_warm += reader == 1;
+    bed.now += 20ms;
+    const HostId writer = bed.sent(bed.complete(r.id, 0, reader, Outcome::read, 20ms));
+    bed.first(r.id, 1, writer);
+    bed.complete(r.id, 1, writer, Outcome::ok, 60ms, 0, true);
+    bed.now += 5ms;
+  }
+  EXPECT_GE(at_warm, 12);
+}
+
 // Found by an expectation: the holder of a conversation fell silent, was called off as overdue and, having read nearly
 // all of the prompt before, was asked again and again until the deadline.
 TEST(FailureStuck, AReaderCalledOffIsNotTheNextOneAsked) {
