--- /dev/null
+++ b/src/cli/program.cpp
@@ -0,0 +1,244 @@
+#include "cli/program.h"
+
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+
+#include "base/log.h"
+#include "discovery/watch.h"
+#include "grpc/front.h"
+#include "grpc/node_client.h"
+#include "http/front.h"
+#include "http/node_client.h"
+#include "ops/agent_check.h"
+#include "ops/handover.h"
+#include "ops/health_service.h"
+#include "ops/management.h"
+#include "ops/processes.h"
+
+namespace lemonroute::cli {
+namespace {
+
+using std::chrono::milliseconds;
+
+// After SIGTERM new connections keep arriving for up to 0.4 s, and may find their first bytes late.
+constexpr milliseconds arrival_window{600};
+constexpr milliseconds end_poll{20};
+constexpr milliseconds pass_again{10};
+// A node taken out at the other process must get nothing from here half a second after the yes.
+constexpr milliseconds look_again{100};
+
+// Descriptors: some for the program itself and for management callers; of the rest two fifths for clients, as
+// many for the calls made for them, an eighth for idle connections.
+constexpr std::size_t own_descriptors = 16 + ops::Management::most_callers;
+std::size_t shared_descriptors(const config::Platform& platform) {
+  return platform.sockets - std::min(own_descriptors, platform.sockets / 2);
+}
+
+std::size_t front_places(const config::Platform& platform) { return shared_descriptors(platform) * 2 / 5; }
+std::size_t idle_nodes(const config::Platform& platform) { return shared_descriptors(platform) / 8; }
+
+// Nodes close what has been idle for the platform's time; a request written to it then is lost.
+Nodes::Limits node_limits(const config::Platform& platform, std::size_t parts) {
+  return {platform.settings.connect_timeout, platform.connection_idle * 6 / 10, idle_nodes(platform) / parts};
+}
+
+std::unique_ptr<Nodes> make_nodes(net::Loop& loop, const config::Platform& platform, bool grpc) {
+  if (grpc) return std::make_unique<grpc::NodeClient>(loop, grpc::Session::Limits{platform.settings.connect_timeout});
+  const Nodes::Limits limits = node_limits(platform, 1);
+  return std::make_unique<http::NodeClient>(
+      loop, http::ClientLimits{limits.connect_timeout, limits.idle, limits.idle_most});
+}
+
+http::Front::Options front_options(const config::Platform& platform, const config::Operator& settings) {
+  http::Front::Options options{{platform.listen}, front_places(platform)};
+  options.inherited = platform.socket;
+  options.listen.insert(options.listen.end(), settings.http_listen.begin(), settings.http_listen.end());
+  return options;
+}
+
+}  // namespace
+
+struct Program::Parts {
+  Parts(net::Loop& loop, const config::Platform& platform, const config::Operator& settings, Reload again)
+      : platform_(platform),
+        read_again_(std::move(again)),
+        loop_(loop),
+        processes_(std::filesystem::temp_directory_path(), platform.name, platform.listen),
+        nodes_(make_nodes(loop_, platform, settings.grpc_nodes)),
+        conductor_(platform.settings, platform.zones, platform.kinds, platform.seed, clock_, *nodes_),
+        status_(conductor_),
+        front_(loop_, conductor_, front_options(platform, settings)),
+        due_(loop_, [this] { conductor_.run_due(); }),
+        window_(loop_, [this] { stop_accepting(); }),
+        ended_(loop_, [this] { poll_end(); }),
+        look_(loop_, [this] { look(); }),
+        pass_(loop_, [this] { pass_streams(); }),
+        term_(loop_, SIGTERM, [this] { drain("SIGTERM"); }),
+        interrupt_(loop_, SIGINT, [this] { drain("SIGINT"); }),
+        hang_up_(loop_, SIGHUP, [this] { reload(); }) {
+    if (!settings.grpc_listen.empty()) {
+      grpc_ = std::make_unique<Grpc>(*this, settings);
+      logging::info() << "gRPC on " << settings.grpc_listen;
+    }
+    if (!settings.agent_check_listen.empty()) {
+      agent_ = std::make_unique<ops::AgentCheck>(loop_, settings.agent_check_listen, status_,
+                                                 platform.socket.has_value());
+      logging::info() << "agent-check on " << settings.agent_check_listen;
+    }
+    const std::string& management =
+        settings.management_listen.empty() ? platform.management : settings.management_listen;
+    if (!management.empty()) {
+      management_ = std::make_unique<ops::Management>(loop_, management, conductor_, status_,
+                                                      [this] { return reloads_; });
+      logging::info() << "management on " << management;
+    }
+    conductor_.on_change = [this] { changed(); };
+    conductor_.update(ListKind::cached, platform.known.version, platform.known.nodes);
+    conductor_.keep_bans(processes_.file(".bans"), processes_.lock());
+    if (!platform.discovery.empty()) {
+      watch_ = std::make_unique<discovery::Watch>(loop_, platform.discovery, conductor_);
+      watch_->start();
+    }
+    look();
+    if (platform.socket)
+      handover_ = std::make_unique<ops::Handover>(loop_, processes_.file(".streams"),
+                                                  [this](const Passing& stream) { front_.adopt(stream); });
+    processes_.serves(true);
+  }
+  ~Parts() { conductor_.on_change = nullptr; }  // the timer goes before the conductor does
+  Parts(const Parts&) = delete;
+  Parts& operator=(const Parts&) = delete;
+
+  struct Grpc {
+    Grpc(Parts& program, const config::Operator& settings)
+        : front(program.conductor_),
+          health(program.status_),
+          server(program.loop_, settings.grpc_listen, static_cast<std::size_t>(settings.grpc_connections),
+                 program.platform_.socket.has_value()),
+          places(static_cast<std::size_t>(settings.grpc_connections)) {
+      server.add(front);
+      server.add(health);
+    }
+    grpc::Front front;
+    ops::HealthService health;
+    grpc::Server server;
+    std::size_t places;
+  };
+
+  void changed() {
+    status_.check();
+    if (const auto due = conductor_.next_due()) due_.start(*due - clock_.now());
+    else due_.stop();
+  }
+
+  // Connections already on their way are still taken; what was taken is answered before the program ends.
+  void drain(const char* signal) {
+    if (draining_) return;
+    draining_ = true;
+    processes_.serves(false);
+    handover_.reset();
+    const bool successor = processes_.another_serves();
+    logging::info() << signal << ": draining, " << conductor_.open() << " requests open"
+                    << (successor ? ", another process takes the clients" : "");
+    if (successor) hand_over();
+    else front_.drain();
+    status_.drain();
+    window_.start(arrival_window);
+  }
+  // Whoever asks about this address from now on asks the other process, which is well.
+  void hand_over() {
+    front_.hand_over();
+    if (grpc_) grpc_->server.stop_accepting();
+    agent_.reset();
+    pass_streams();
+  }
+  // A stream may outlast this process's time; each is given away once it stands between two events.
+  void pass_streams() {
+    conductor_.pass_streams([path = processes_.file(".streams")](const Passing& stream) {
+      return ops::Handover::send(path, stream);
+    });
+    pass_.start(pass_again);
+  }
+  // What the other process of this conductor, if there is one, has changed. Both together must stay within the
+  // limits of one, so each has half of the places while two run.
+  void look() {
+    conductor_.refresh_bans();
+    const bool shares = processes_.another_runs();
+    if (std::exchange(shares_, shares) != shares) {
+      logging::info() << (shares ? "another process of this conductor runs, places are halved"
+                                 : "no other process of this conductor runs");
+      const std::size_t parts = this->parts();
+      front_.limit(std::max<std::size_t>(2, front_places(platform_) / parts));
+      nodes_->limit(node_limits(platform_, parts));
+      if (grpc_) grpc_->server.limit(std::max<std::size_t>(2, grpc_->places / parts));
+    }
+    look_.start(look_again);
+  }
+  std::size_t parts() const { return shares_ ? 2 : 1; }
+  // Takes discovery, settings and classes of the replaced file together; its name, addresses and descriptors hold
+  // from the next start on. With a file that is not in order the program goes on as it was: a slip there must not
+  // end what serves.
+  void reload() {
+    try {
+      const auto platform = read_again_();
+      // Where nodes come from is settled at the start.
+      if (platform.discovery.empty() == (watch_ != nullptr))
+        throw config::ConfigError("fixed nodes and discovery can't be exchanged without a restart");
+      logging::info() << "SIGHUP: the configuration is taken, " << platform.settings.classes.size()
+                      << " classes, " << platform.nodes_from();
+      platform_.settings = platform.settings;
+      platform_.connection_idle = platform.connection_idle;
+      nodes_->limit(node_limits(platform_, parts()));
+      conductor_.retune(platform.settings, platform.zones, platform.kinds);
+      if (!watch_) conductor_.update(ListKind::full, ++platform_.known.version, platform.known.nodes);
+      else if (std::exchange(platform_.discovery, platform.discovery) != platform.discovery)
+        watch_->move(platform.discovery);
+      ++reloads_.loaded;
+    } catch (const config::ConfigError& error) {
+      ++reloads_.invalid;
+      logging::error() << "SIGHUP: the configuration stays as it was: " << error.what();
+    }
+  }
+  void stop_accepting() {
+    front_.stop_accepting();
+    if (grpc_) grpc_->server.stop_accepting();
+    poll_end();
+  }
+  void poll_end() {
+    if (conductor_.idle() && front_.idle() && (!grpc_ || grpc_->server.idle())) {
+      logging::info() << "drained, ending";
+      loop_.stop();
+      return;
+    }
+    ended_.start(end_poll);
+  }
+
+  config::Platform platform_;
+  const Reload read_again_;
+  net::Loop& loop_;
+  ops::Processes processes_;
+  SystemClock clock_;
+  std::unique_ptr<Nodes> nodes_;
+  Conductor conductor_;
+  ops::Status status_;
+  http::Front front_;
+  std::unique_ptr<discovery::Watch> watch_;  // none where the nodes are fixed
+  net::Timer due_, window_, ended_, look_, pass_;
+  net::Signal term_, interrupt_, hang_up_;
+  std::unique_ptr<Grpc> grpc_;
+  std::unique_ptr<ops::AgentCheck> agent_;
+  ops::Reloads reloads_;
+  std::unique_ptr<ops::Handover> handover_;
+  std::unique_ptr<ops::Management> management_;
+  bool draining_ = false, shares_ = false;
+};
+
+Program::Program(net::Loop& loop, const config::Platform& platform, const config::Operator& settings, Reload reload)
+    : parts_(std::make_unique<Parts>(loop, platform, settings, std::move(reload))) {}
+Program::~Program() = default;
+void Program::drain() { parts_->drain("an order"); }
+std::uint16_t Program::port() const { return parts_->front_.port(); }
+std::uint16_t Program::grpc_port() const { return parts_->grpc_ ? parts_->grpc_->server.port() : 0; }
+
+}  // namespace lemonroute::cli
--- a/src/config/installation.cpp
+++ b/src/config/installation.cpp
@@ -75,7 +75,7 @@
   if (!in.span("aim", c.aim, milliseconds(1), hours(1)) && !in.has("aim")) in.missing("aim");
   if (!in.span("deadline", c.deadline, milliseconds(1), hours(1)) && !in.has("deadline")) in.missing("deadline");
   if (c.aim > Micros(0) && c.deadline > Micros(0) && c.aim > c.deadline)
-    in.fault("aim", "'" + span_text(c.aim) + "' is longer than the deadline, after which the client has given up");
+    in.fault("aim", span_text(c.aim) + " is longer than the deadline, after which the client has given up");
   in.span("aim_per_1000_tokens", c.aim_per_1000_tokens, Micros(0), hours(1));
   in.span("token_aim", c.token_aim, Micros(0), seconds(60));
   in.number("aim_stretch", c.aim_stretch, 0, 1000);
--- a/src/config/platform.h
+++ b/src/config/platform.h
@@ -29,6 +29,8 @@
   std::vector<std::string> zones, kinds;
   Micros connection_idle{};
   discovery::NodeList known;
+  // For the log: where the nodes come from.
+  std::string nodes_from() const { return discovery.empty() ? "fixed nodes" : "discovery at " + discovery; }
 };
 
 // The path=value lines of the simulator's first message, from the same settings as nested JSON.
--- a/src/expect/judge.cpp
+++ b/src/expect/judge.cpp
@@ -27,7 +27,7 @@
 }
 
 std::string range(const Bounds& bounds) {
-  return (bounds.least > Micros(0) ? "from " + readable(bounds.least) + " to " : "at most ") + readable(bounds.most);
+  return (bounds.least > Micros(0) ? "from " + span_text(bounds.least) + " to " : "at most ") + span_text(bounds.most);
 }
 
 class Judge {
@@ -41,7 +41,7 @@
     const auto got = [&](const Attempted* attempt) { return attempt ? attempt->node : std::string("none"); };
     const Attempted *reader = story->last(Role::read), *writer = story->last(Role::write);
     if (e.answer && story->answer != *e.answer)
-      return std::string("expected to be ") + word(*e.answer) + ", and was " + word(story->answer) + " after " + readable(story->answered);
+      return std::string("expected to be ") + word(*e.answer) + ", and was " + word(story->answer) + " after " + span_text(story->answered);
     if (e.reader && (!reader || !among(*e.reader, reader->node)))
       return "expected reader " + list(*e.reader) + ", and it was " + got(reader);
     if (e.reader_holds && (!reader || !among(story->holders, reader->node)))
@@ -50,7 +50,7 @@
       return "expected writer " + list(*e.writer) + ", and it was " + got(writer);
     for (const auto& attempt : story->attempts)
       if (among(e.never, attempt.node))
-        return "expected nothing at " + attempt.node + ", and an attempt went there after " + readable(attempt.at);
+        return "expected nothing at " + attempt.node + ", and an attempt went there after " + span_text(attempt.at);
     if (e.near != Expectation::Near::any) {
       const ScriptedNode *from = node(reader), *to = node(writer);
       const bool cell = e.near == Expectation::Near::cell;
@@ -70,19 +70,19 @@
     }
     if (e.retry_after && (!story->retry_after || !e.retry_after->holds(*story->retry_after)))
       return "expected a retry-after of " + range(*e.retry_after) + ", and it was " +
-             (story->retry_after ? readable(*story->retry_after) : std::string("none"));
+             (story->retry_after ? span_text(*story->retry_after) : std::string("none"));
     if (e.answered && (story->answer == Answer::none || !e.answered->holds(story->answered)))
       return "expected the answer after " + range(*e.answered) + ", and it came " +
-             (story->answer == Answer::none ? "never" : "after " + readable(story->answered));
+             (story->answer == Answer::none ? "never" : "after " + span_text(story->answered));
     if (e.first && (!story->first || !e.first->holds(*story->first)))
       return "expected the first event after " + range(*e.first) + ", and it came " +
-             (story->first ? "after " + readable(*story->first) : std::string("never"));
+             (story->first ? "after " + span_text(*story->first) : std::string("never"));
     if (e.released) {
       const Micros end = story->left.value_or(story->answered);
       if (story->held_at_end) return "expected its state to be released, and it is held to the end";
       if (story->freed && *story->freed - end > *e.released)
-        return "expected its state to be released within " + readable(*e.released) + " of its end, and it took " +
-               readable(*story->freed - end);
+        return "expected its state to be released within " + span_text(*e.released) + " of its end, and it took " +
+               span_text(*story->freed - end);
     }
     return {};
   }
--- a/src/rules/monitor.cpp
+++ b/src/rules/monitor.cpp
@@ -142,7 +142,7 @@
   const auto found = requests_.find(request);
   if (found == requests_.end()) return breach(Rule::answer, now, request, "", "an answer to a request never taken");
   Watched& one = found->second;
-  if (one.left) breach(Rule::answer, now, request, "", "an answer (" + how + ") to a client that has gone");
+  if (one.left) return breach(Rule::answer, now, request, "", "an answer (" + how + ") to a client that has gone");
   if (++one.answers > 1) breach(Rule::answer, now, request, "", "answer " + std::to_string(one.answers) + " (" + how + ")");
   if (!one.started && now > one.deadline + limits_.answer_slack && !std::exchange(one.late, true))
     breach(Rule::answer, now, request, "",
--- /dev/null
+++ b/tests/monitor_test.cpp
@@ -0,0 +1,267 @@
+// The monitor of the five rules: each broken in each way that it knows, and what is allowed left alone.
+#include <gtest/gtest.h>
+
+#include "rules/monitor.h"
+
+namespace lemonroute::rules {
+namespace {
+
+using namespace std::chrono_literals;
+
+struct Watch : ::testing::Test {
+  static Limits limits() {
+    Limits l;
+    l.cold_for = 10s;
+    l.cold_window = 1s;
+    l.cold_from = 0.25;
+    l.cold_multiple = 2;
+    return l;
+  }
+  Monitor m{limits()};
+  void SetUp() override {
+    for (const char* node : {"r", "r2", "w"}) m.listed(0s, node, Phase::ready, 0s, 10000);
+    m.taken(100s, "q", 106s, 3);
+  }
+  // Every rule broken so far, as its numbers.
+  std::string broken() const {
+    std::string all;
+    for (const auto& one : m.breaches()) all += std::to_string(static_cast<int>(one.rule));
+    return all;
+  }
+  void served() {
+    m.sent(100s, "q", "r", 100);
+    m.over(101s, "q", "r");
+    m.held(101s, "q", "r");
+    m.sent(101s, "q", "w", 100);
+    m.freed(102s, "q", "r");
+    m.first(102s, "q");
+    m.over(103s, "q", "w");
+    m.answered(103s, "q", "served");
+  }
+};
+
+TEST_F(Watch, AServedRequestBreaksNothing) {
+  served();
+  m.finish(200s);
+  EXPECT_EQ(broken(), "");
+  EXPECT_EQ(m.open(), 0u);
+}
+
+TEST_F(Watch, NoAnswer) {
+  EXPECT_EQ(m.open(), 1u);
+  m.advance(106s);
+  EXPECT_EQ(broken(), "") << "in the very moment it may still come";
+  m.advance(106s + 1us);
+  EXPECT_EQ(broken(), "1");
+  m.advance(110s);
+  EXPECT_EQ(broken(), "1") << "once";
+}
+TEST_F(Watch, NeverAnsweredAtTheEnd) {
+  m.finish(101s);
+  EXPECT_EQ(broken(), "1");
+}
+TEST_F(Watch, TwoAnswers) {
+  served();
+  m.answered(103s, "q", "failed");
+  EXPECT_EQ(broken(), "1");
+}
+TEST_F(Watch, LateAnswer) {
+  m.answered(107s, "q", "failed");
+  EXPECT_EQ(broken(), "1");
+  m.finish(108s);
+  EXPECT_EQ(broken(), "1");
+}
+TEST_F(Watch, LateFirstEvent) {
+  m.first(107s, "q");
+  m.answered(108s, "q", "served");
+  EXPECT_EQ(broken(), "1");
+}
+TEST_F(Watch, AStreamMayGoOnBeyondTheDeadline) {
+  m.first(105s, "q");
+  m.answered(150s, "q", "served");
+  EXPECT_EQ(broken(), "");
+}
+TEST_F(Watch, AnswerToAClientThatLeft) {
+  m.left(101s, "q");
+  m.finish(200s);
+  EXPECT_EQ(broken(), "") << "none is owed";
+  m.answered(200s, "q", "failed");
+  EXPECT_EQ(broken(), "1");
+}
+TEST_F(Watch, AnswerToNobody) {
+  m.answered(101s, "x", "served");
+  EXPECT_EQ(broken(), "1");
+}
+
+TEST_F(Watch, TwoAttemptsOut) {
+  m.sent(100s, "q", "r", 100);
+  m.sent(101s, "q", "r2", 100);
+  EXPECT_EQ(broken(), "2");
+}
+TEST_F(Watch, SecondCopiesWhereTheyAreAllowed) {
+  Limits l = limits();
+  l.second_copies = true;
+  m.limit(l);
+  m.sent(100s, "q", "r", 100);
+  m.sent(101s, "q", "r2", 100);
+  EXPECT_EQ(broken(), "");
+}
+TEST_F(Watch, TooManyAttempts) {
+  for (int i = 0; i < 4; ++i) {
+    m.sent(100s, "q", "r", 100);
+    m.over(100s, "q", "r");
+  }
+  EXPECT_EQ(broken(), "2");
+}
+TEST_F(Watch, AttemptsAfterTheEnd) {
+  served();
+  m.sent(104s, "q", "w", 100);
+  EXPECT_EQ(broken(), "2");
+}
+TEST_F(Watch, AttemptsForAClientThatLeft) {
+  m.left(100s, "q");
+  m.sent(101s, "q", "r", 100);
+  EXPECT_EQ(broken(), "2");
+}
+TEST_F(Watch, AttemptForNothing) {
+  m.sent(101s, "x", "r", 100);
+  EXPECT_EQ(broken(), "2");
+}
+TEST_F(Watch, AttemptOutAtTheEnd) {
+  m.sent(100s, "q", "r", 100);
+  m.answered(101s, "q", "failed");
+  m.finish(110s);
+  EXPECT_EQ(broken(), "2");
+}
+
+TEST_F(Watch, WorkToANodeThatDrains) {
+  for (const Phase phase : {Phase::draining, Phase::gone}) {
+    Monitor one(limits());
+    one.listed(0s, "r", Phase::ready, 0s);
+    one.taken(100s, "q", 106s, 3);
+    one.listed(100s, "r", phase, 0s);
+    one.sent(100s + 500ms, "q", "r", 100);
+    EXPECT_TRUE(one.breaches().empty()) << "within the grace";
+    one.over(100s + 500ms, "q", "r");
+    one.listed(100s + 600ms, "r", phase, 0s);  // told again: the time goes on from the first
+    one.sent(100s + 601ms, "q", "r", 100);
+    ASSERT_EQ(one.breaches().size(), 1u);
+    EXPECT_EQ(one.breaches()[0].rule, Rule::drain);
+    EXPECT_EQ(one.breaches()[0].request, "q");
+    EXPECT_EQ(one.breaches()[0].node, "r");
+    EXPECT_NE(one.breaches()[0].text(100s).find("rule 3"), std::string::npos);
+    EXPECT_NE(one.breaches()[0].text(100s).find("at 601 ms, request q, node r"), std::string::npos) << one.breaches()[0].text(100s);
+  }
+}
+TEST_F(Watch, WorkToANodeThatIsReadyAgain) {
+  m.listed(100s, "r", Phase::draining, 0s);
+  m.listed(102s, "r", Phase::ready, 0s);
+  m.sent(103s, "q", "r", 100);
+  EXPECT_EQ(broken(), "");
+}
+TEST_F(Watch, WorkToANodeOutByHand) {
+  m.banned(100s, "r");
+  m.listed(100s + 100ms, "r", Phase::ready, 0s);  // whatever is listed
+  m.sent(100s + 501ms, "q", "r", 100);
+  EXPECT_EQ(broken(), "3");
+  m.over(101s, "q", "r");
+  m.unbanned(101s, "r");
+  m.sent(102s, "q", "r", 100);
+  EXPECT_EQ(broken(), "3");
+}
+
+TEST_F(Watch, AColdNodeBeyondItsBudget) {  // 2 x 0.25 x 10,000 tokens/s x 1 s = 5,000
+  m.listed(99s, "r", Phase::ready, 99s, 10000);
+  const auto send = [&](const char* id, Micros at, double tokens) {
+    m.taken(at, id, at + 6s, 3);
+    m.sent(at, id, "r", tokens);
+  };
+  send("a", 100s, 9000);
+  EXPECT_EQ(broken(), "") << "one alone passes, or the node could never warm up";
+  send("b", 100s + 999ms, 100);
+  EXPECT_EQ(broken(), "4");
+  send("c", 102s, 2500);
+  send("d", 102s, 2500);
+  EXPECT_EQ(broken(), "4") << "in a new window, just within the budget";
+  send("e", 102s + 1ms, 1);
+  EXPECT_EQ(broken(), "44");
+  send("f", 109s, 4000);
+  send("g", 109s, 4000);
+  EXPECT_EQ(broken(), "44") << "warm by then";
+}
+TEST_F(Watch, AColdNodesBudgetIsSharedAmongSiblings) {
+  Limits l = limits();
+  l.siblings = 2;
+  m.limit(l);
+  m.listed(99s, "r", Phase::ready, 99s, 10000);
+  m.taken(100s, "a", 106s, 3);
+  m.sent(100s, "a", "r", 1500);
+  m.sent(100s, "q", "r", 1500);
+  EXPECT_EQ(broken(), "4");
+}
+TEST_F(Watch, ANewProcessStartsItsWindowAnew) {
+  m.sent(100s, "q", "r", 9000);
+  m.over(100s, "q", "r");
+  m.listed(100s, "r", Phase::ready, 100s, 10000);
+  m.sent(100s, "q", "r", 9000);
+  EXPECT_EQ(broken(), "");
+}
+TEST_F(Watch, NoBudgetWithoutACapacity) {
+  m.listed(99s, "r", Phase::ready, 99s);
+  m.sent(100s, "q", "r", 1e6);
+  m.over(100s, "q", "r");
+  m.sent(100s, "q", "r", 1e6);
+  EXPECT_EQ(broken(), "");
+}
+
+TEST_F(Watch, HeldTooLong) {
+  m.sent(100s, "q", "r", 100);
+  m.over(101s, "q", "r");
+  m.held(101s, "q", "r");
+  m.advance(102s);
+  EXPECT_EQ(broken(), "");
+  m.advance(102s + 1us);
+  EXPECT_EQ(broken(), "5");
+  m.advance(103s);
+  EXPECT_EQ(broken(), "5") << "once";
+}
+TEST_F(Watch, HeldWhileAnAttemptIsOut) {
+  m.sent(100s, "q", "r", 100);
+  m.over(101s, "q", "r");
+  m.held(101s, "q", "r");
+  m.sent(101s, "q", "w", 100);
+  m.advance(105s);
+  EXPECT_EQ(broken(), "") << "the time runs only with no attempt out";
+  m.over(105s, "q", "w");
+  m.advance(105s + 900ms);
+  EXPECT_EQ(broken(), "");
+  m.freed(105s + 900ms, "q", "r");
+  m.answered(105s + 900ms, "q", "failed");
+  m.finish(200s);
+  EXPECT_EQ(broken(), "");
+}
+TEST_F(Watch, HeldAfterTheAnswer) {
+  m.sent(100s, "q", "r", 100);
+  m.over(101s, "q", "r");
+  m.held(101s, "q", "r");
+  m.answered(101s, "q", "refused");
+  m.advance(103s);
+  EXPECT_EQ(broken(), "5");
+}
+TEST_F(Watch, HeldAtTheEnd) {
+  m.held(101s, "q", "r");
+  m.answered(101s, "q", "refused");
+  m.finish(101s + 10ms);
+  EXPECT_EQ(broken(), "5");
+}
+
+TEST_F(Watch, TimeNeverGoesBack) {
+  m.advance(105s);
+  m.answered(90s, "q", "refused");
+  ASSERT_EQ(broken(), "");
+  m.answered(90s, "q", "refused");
+  EXPECT_EQ(m.breaches()[0].at, 105s);
+}
+
+}  // namespace
+}  // namespace lemonroute::rules
--- a/tests/net/tools_test.cpp
+++ b/tests/net/tools_test.cpp
@@ -51,6 +51,15 @@
   for (const std::vector<string>& bad : {std::vector<string>{}, {"nonsense"}, {"config"}, {"config", "init"},
                                          {"config", "check"}, {"serve", "--what"}, {"serve", "--log-level", "loud"}})
     assert(run(bad).code == 2 && !run(bad).err.empty());
+  for (const std::vector<string>& command :
+       {std::vector<string>{"serve"}, {"demo"}, {"version"}, {"config", "init"}, {"config", "check"}, {"expect", "init"},
+        {"expect", "check"}, {"expect", "compare"}, {"expect", "audit"}}) {
+    auto asked = command;
+    asked.push_back("--help");
+    const auto told = run(asked);
+    assert(told.code == 0 && told.err.empty() && told.out.starts_with("lemonroute " + command.front()));
+  }
+  for (const char* group : {"config", "expect"}) assert(run({group, "--help"}).code == 0);
   // What init writes, check takes, even under a name that needs care in quotes.
   for (const char* name : {"estratti", "a \"b\" \\c"}) {
     const string path = write_file(run({"config", "init", name}).out);
@@ -94,6 +103,64 @@
   assert(run({"serve", "--config", write_file("a = 1\n")}).code == 1);
 }
 
+const string alone = R"([serve]
+listen = "127.0.0.1:0"
+[settings]
+max_attempts = 4
+[kinds.reader]
+role = "read"
+tokens = 1000
+[classes.k]
+aim = "1s"
+deadline = "6s"
+[[fleet]]
+name = "r1"
+address = "127.0.0.1:1"
+kind = "reader"
+)";
+
+// A file that stands alone is checked as strictly as the platform's; each row breaks it in one place.
+void alone_faults() {
+  assert(run({"config", "check", write_file(alone)}).code == 0);
+  struct Row {
+    const char *from, *to, *line, *what;
+  };
+  const Row rows[] = {
+      {"max_attempts = 4", "max_attempts = 7", ":4: ", "settings.max_attempts: must be a whole number from 1 to 6"},
+      {"max_attempts = 4", "max_attempts = \"4\"", ":4: ", "settings.max_attempts: "},
+      {"max_attempts = 4", "second_copies = true", ":4: ", "breaks the rule that no two attempts"},
+      {"max_attempts = 4", "release_within = \"2s\"", ":4: ", "is not from 1ms to 1s"},
+      {"max_attempts = 4", "drain_grace = \"501ms\"", ":4: ", "is not from 0s to 500ms"},
+      {"max_attempts = 4", "cold_for = 12", ":4: ", "must be a time with its unit"},
+      {"max_attempts = 4", "siblings = 2\nme = 2", ":5: ", "must be below siblings, 2"},
+      {"max_attempts = 4", "report_memory = \"x0\"", ":4: ", "is not among report_columns"},
+      {"max_attempts = 4", "retries = 3", ":4: ", "settings.retries: is not a known key"},
+      {"role = \"read\"", "role = \"reader\"", ":6: ", "'reader' is not read, write or both"},
+      {"role = \"read\"\n", "", ":5: ", "kinds.reader.role: is missing"},
+      {"aim = \"1s\"", "aim = \"7s\"", ":9: ", "is longer than the deadline"},
+      {"aim = \"1s\"\n", "", ":8: ", "classes.k.aim: is missing"},
+      {"deadline = \"6s\"", "deadline = \"6s\"\neffect = \"keyed\"", ":8: ", "classes.k.group: is missing"},
+      {"deadline = \"6s\"", "deadline = \"6s\"\nwindow = \"1s\"", ":11: ", "says nothing of a class"},
+      {"kind = \"reader\"", "kind = \"writer\"", ":14: ", "'writer' is not a known kind"},
+      {"address = \"127.0.0.1:1\"\n", "", ":11: ", "fleet[0].address: is missing"},
+      {"address = \"127.0.0.1:1\"", "address = \"here\"", ":13: ", "fleet[0].address: "},
+      {"kind = \"reader\"", "kind = \"reader\"\n[[fleet]]\nname = \"r1\"\naddress = \"127.0.0.1:2\"\nkind = \"reader\"", ":16: ",
+       "is there twice"},
+      {"[serve]", "[serve]\ndiscovery = \"127.0.0.1:3\"", ":12: ", "not from both"},
+      {"listen = \"127.0.0.1:0\"\n", "", ": ", "serve.listen: is missing"},
+      {"[classes.k]\naim = \"1s\"\ndeadline = \"6s\"\n", "", ": ", "classes: is missing"},
+  };
+  for (const auto& row : rows) {
+    string text = alone;
+    const auto at = text.find(row.from);
+    assert(at != string::npos);
+    const auto checked = run({"config", "check", write_file(text.replace(at, string(row.from).size(), row.to))});
+    const bool named = checked.err.find(string("tools_test.toml") + row.line) != string::npos && checked.err.find(row.what) != string::npos;
+    if (!named) std::cerr << row.to << "\n" << checked.err;
+    assert(checked.code == 1 && checked.out.empty() && named);
+  }
+}
+
 string platform_file(const string& discovery, const string& listen = "127.0.0.1:0", const string& nodes = "[]") {
   return write_file(R"({"name":"n1","listen":")" + listen + R"(","discovery":")" + discovery + R"(",
     "known":{"generation":1,"reset":true,"instances":)" + nodes + R"(},
@@ -103,6 +170,19 @@
       "safety":{"cold-us":1,"cold-from":1,"fall-multiple":1,"fall-us":1}}})");
 }
 
+// Beside a platform's file a class of the operator's must be one that the platform knows.
+void unknown_class() {
+  const string platform = platform_file("127.0.0.1:1");
+  std::filesystem::rename(platform, "tools_test.json");
+  const auto check = [](const char* name) {
+    return run({"config", "check", write_file(string("[classes.") + name + "]\naim = \"1s\"\ndeadline = \"6s\"\n"), "--platform", "tools_test.json"});
+  };
+  assert(check("k").code == 0);
+  const auto other = check("z");
+  assert(other.code == 1 && other.err.find("tools_test.toml:1: classes.z: is no class of the platform's, which knows k") == 0);
+  std::filesystem::remove("tools_test.json");
+}
+
 // A file of the platform's with a fault is turned down, at the start, by config check and at SIGHUP alike.
 void platform_faults() {
   platform_file("127.0.0.1:1");
@@ -210,6 +290,46 @@
   close(ends[0]);
 }
 
+// Without a platform: nodes, classes and settings are the operator's, at the start and at SIGHUP.
+void starts_alone() {
+  unsetenv("BALANCER_CONFIG");
+  const string config = "tools_alone.toml";
+  std::ofstream(config) << alone << "[management]\nlisten = \"127.0.0.1:" << free_port() << "\"\n";
+  int ends[2];
+  assert(pipe(ends) == 0);
+  const pid_t child = fork();
+  if (child == 0) {
+    dup2(ends[1], STDERR_FILENO);
+    setenv("TMPDIR", ".", 1);
+    std::_Exit(cli::run({"serve", "--config", config}, std::cout, std::cerr));
+  }
+  close(ends[1]);
+  string log;
+  char c = 0;
+  const auto logged = [&](const char* text) {
+    while (log.find(text) == string::npos && read(ends[0], &c, 1) == 1) log += c;
+    return log.find(text) != string::npos;
+  };
+  assert(logged("fixed nodes"));
+  assert(log.find("node r1 is host") != string::npos);
+  string more = alone;
+  std::ofstream(config) << more << "[[fleet]]\nname = \"r2\"\naddress = \"127.0.0.1:2\"\nkind = \"reader\"\n";
+  kill(child, SIGHUP);
+  assert(logged("SIGHUP: the configuration is taken, 1 classes, fixed nodes"));
+  assert(logged("node r2 is host"));
+  std::ofstream(config) << "[settings]\nmax_attempts = 9\n";
+  kill(child, SIGHUP);
+  assert(logged("stays as it was: tools_alone.toml:2: settings.max_attempts"));
+  kill(child, SIGTERM);
+  while (read(ends[0], &c, 1) == 1) log += c;
+  int status = 0;
+  assert(waitpid(child, &status, 0) == child && WIFEXITED(status) && WEXITSTATUS(status) == 0);
+  close(ends[0]);
+  std::filesystem::remove(config);
+  for (const auto& file : std::filesystem::directory_iterator("."))
+    if (file.path().filename().string().starts_with("lemonroute-lemonroute-")) std::filesystem::remove(file.path());
+}
+
 // One process of the program, with what it logs. Without an address for management it has none.
 struct Process {
   Process(const string& config, int socket, const string& management) {
@@ -520,8 +640,11 @@
   using namespace lemonroute;
   command_line();
   faults();
+  alone_faults();
+  unknown_class();
   platform_faults();
   start_and_end();
+  starts_alone();
   upgrade();
   second_answer();
   old_report<HttpStreamer, http::NodeClient, http::ClientLimits>();
