Several connections to each gRPC node; what a client connection may do is bounded

Need: one connection a node made calls wait behind the node's stream limit, and nothing bounded what a hostile HTTP/2 peer costs. Change: grpc::Pool decides which connection takes a call, when one more is opened, drained or retired (free of I/O); grpc::Guard gives each kind of flood a bucket and ends that connection only. Server connections end by idleness and age with jitter, in two GOAWAYs. A call that no connection has a place for is connect_failed and goes elsewhere. A release went past the reset of its call on a second connection at first: the scenario for a client that leaves caught it.

--- a/src/grpc/node_client.cpp
+++ b/src/grpc/node_client.cpp
@@ -7,14 +7,17 @@
 namespace lemonroute::grpc {
 namespace {
 
+constexpr std::chrono::seconds retire_every{1};
+
 enum class Ending { whole, not_sent, broken, malformed };
 
 // One call to a node. Letting go of it resets the stream, which gives the call up.
 class NodeCall : public Call, StreamEvents {
  public:
+  // `over` hears once that the call is, and whether the node said anything to it.
   NodeCall(Session& session, std::string_view authority, std::string_view method, std::string framed,
-           Headers more)
-      : session_(&session) {
+           Headers more, std::function<void(bool answered)> over)
+      : session_(&session), over_(std::move(over)) {
     Headers headers{{":method", "POST"},
                     {":scheme", "http"},
                     {":path", "/lemonroute.v1.Node/" + std::string(method)},
@@ -25,6 +28,7 @@
     id_ = session.request(headers, std::move(framed), *this);
   }
   ~NodeCall() override {
+    leave();
     if (!session_) return;
     session_->reset(id_, NGHTTP2_CANCEL);
     // Guards against a connection that has gone silent: unlike HTTP/1.1, giving a call up leaves it open, and
@@ -47,7 +51,11 @@
   void forget_load() { end_.load.clear(); }
 
  private:
+  void leave() {
+    if (const auto over = std::exchange(over_, {})) over(answered_);
+  }
   void headers(const Headers& headers) override {
+    answered_ = true;
     if (const auto load = find(headers, "srv-load"); !load.empty()) end_.load = load;
     end_.declined = end_.declined || find(headers, "srv-declined") == "1";
     const auto text = find(headers, "grpc-status");
@@ -62,6 +70,7 @@
     if (!fault && !malformed_) return;
     std::exchange(session_, nullptr)->reset(id_, NGHTTP2_CANCEL);
     end_.how = Ending::malformed;
+    leave();
     ended(end_);
   }
   void closed(std::uint32_t code, bool sent) override {
@@ -69,21 +78,24 @@
     if (has_status_) end_.how = Ending::whole;
     else if (!sent) end_.how = Ending::not_sent;
     else end_.how = code == 0 ? Ending::malformed : Ending::broken;
+    leave();
     ended(end_);
   }
 
   Session* session_;
   std::int32_t id_ = 0;
-  bool malformed_ = false, has_status_ = false;
+  bool malformed_ = false, has_status_ = false, answered_ = false;
+  std::function<void(bool)> over_;
   MessageReader reader_;
   End end_{Ending::broken, 2, false, {}};
 };
 
 class RunCall : public NodeCall {
  public:
-  RunCall(Session& session, const Node& node, const Prompt& prompt, Micros within, Attempt& attempt)
+  RunCall(Session& session, const Node& node, const Prompt& prompt, Micros within, Attempt& attempt,
+          std::function<void(bool)> over)
       : NodeCall(session, node.address, "Run", frame(request(prompt)),
-                 {{"grpc-timeout", timeout_text(within)}, {"req-id", prompt.id}}),
+                 {{"grpc-timeout", timeout_text(within)}, {"req-id", prompt.id}}, std::move(over)),
         attempt_(attempt) {}
 
  private:
@@ -137,8 +149,9 @@
 class SimpleCall : public NodeCall {
  public:
   using Done = std::function<void(const Result&)>;
-  SimpleCall(Session& session, const Node& node, std::string_view method, std::string framed, Done done)
-      : NodeCall(session, node.address, method, std::move(framed), {}), done_(std::move(done)) {}
+  SimpleCall(Session& session, const Node& node, std::string_view method, std::string framed, Done done,
+             std::function<void(bool)> over)
+      : NodeCall(session, node.address, method, std::move(framed), {}, std::move(over)), done_(std::move(done)) {}
 
  private:
   bool message(std::string_view bytes) override {
@@ -160,50 +173,150 @@
   Result result_;
 };
 
+// A call for which there is no place: it was never sent, and says so once its beginning has returned.
+class UnsentCall : public Call {
+ public:
+  UnsentCall(net::Loop& loop, std::function<void()> told) : told_(std::make_shared<std::function<void()>>(std::move(told))) {
+    loop.defer([weak = std::weak_ptr(told_)] {
+      if (const auto told = weak.lock()) (*told)();
+    });
+  }
+
+ private:
+  std::shared_ptr<std::function<void()>> told_;
+};
+
+Pool::Time now() { return Pool::Clock::now(); }
+
 }  // namespace
 
-Session& NodeClient::session(const std::string& address) {
-  Session*& current = current_[address];
-  if (!current || !current->usable()) {
-    std::unique_ptr<Session> made(new Session(loop_, address, *this, limits_));
-    current = made.get();
-    all_[current] = std::move(made);
-  }
-  return *current;
+NodeClient::NodeClient(net::Loop& loop, Session::Limits limits, Pool::Limits pool)
+    : loop_(loop), limits_(limits), pool_limits_(pool), retire_(loop, [this] { retire(); }) {}
+NodeClient::~NodeClient() = default;
+
+void NodeClient::limit(const Limits& limits) {
+  limits_.connect_timeout = limits.connect_timeout;
+  // Idle connections are an eighth of the shared descriptors; those with calls have two fifths, which are calls' own.
+  most_connections_ = std::max<std::size_t>(4, 3 * limits.idle_most);
+  pool_limits_.idle = std::chrono::duration_cast<std::chrono::milliseconds>(limits.idle);
+  for (auto& [address, place] : places_) place->pool.limit(pool_limits_);
+}
+
+// The connection for a new call to `address`; nothing if there is none and may be none.
+std::optional<NodeClient::Taken> NodeClient::take(const std::string& address) {
+  auto& held = places_[address];
+  if (!held) held = std::make_unique<Place>(pool_limits_);
+  Place& place = *held;
+  const bool room = all_.size() < most_connections_ || make_room();
+  const Pool::Route route = place.pool.route(now(), room);
+  if (route.answer == Pool::Answer::nowhere) return std::nullopt;
+  if (route.answer == Pool::Answer::open) open(address, place, route.id);
+  if (route.also_open) open(address, place, *route.also_open);
+  const auto session = place.sessions.find(route.id);
+  if (session == place.sessions.end()) return std::nullopt;
+  place.pool.began(route.id);
+  if (!retire_.pending()) retire_.start(retire_every);
+  // The place outlives its calls: it is forgotten only once it has neither connections nor calls.
+  return Taken{session->second, [this, address, id = route.id](bool answered) {
+                 if (const auto at = places_.find(address); at != places_.end()) at->second->pool.ended(now(), id, answered);
+               }};
+}
+
+void NodeClient::open(const std::string& address, Place& place, Pool::Id id) {
+  std::unique_ptr<Session> made(new Session(loop_, address, *this, limits_));
+  place.sessions[id] = made.get();
+  Held& held = all_[made.get()];
+  held = {std::move(made), address, id};
+}
+
+// Takes a descriptor back from the node whose connection has rested longest.
+bool NodeClient::make_room() {
+  std::optional<std::pair<Pool::Time, Session*>> best;
+  for (const auto& [address, place] : places_)
+    if (const auto idle = place->pool.idlest(); idle && (!best || idle->first < best->first))
+      best = {idle->first, place->sessions.at(idle->second)};
+  if (!best) return false;
+  best->second->close();
+  return true;
+}
+
+void NodeClient::retire() {
+  std::vector<Session*> over;
+  for (const auto& [address, place] : places_)
+    for (const Pool::Id id : place->pool.retire(now())) over.push_back(place->sessions.at(id));
+  for (Session* session : over) session->close();
+  std::erase_if(places_, [](const auto& one) { return one.second->pool.empty(); });
+  if (!places_.empty()) retire_.start(retire_every);
+}
+
+NodeClient::Known NodeClient::known(Session& session) {
+  const auto found = all_.find(&session);
+  if (found == all_.end()) return {};
+  const auto place = places_.find(found->second.address);
+  return place == places_.end() ? Known{} : Known{&place->second->pool, found->second.id};
+}
+void NodeClient::connected(Session& session) {
+  if (const auto [pool, id] = known(session); pool) pool->up(now(), id);
+}
+void NodeClient::allowed(Session& session, std::uint32_t streams) {
+  if (const auto [pool, id] = known(session); pool) pool->allows(id, streams);
+}
+void NodeClient::going(Session& session) {
+  if (const auto [pool, id] = known(session); pool) pool->drains(id);
+}
+void NodeClient::doubted(Session& session, bool on) {
+  if (const auto [pool, id] = known(session); pool) on ? pool->silent(id) : pool->heard(id);
 }
 
 void NodeClient::closed(Session& session) {
-  for (auto& [address, current] : current_)
-    if (current == &session) current = nullptr;
   const auto found = all_.find(&session);
   if (found == all_.end()) return;
-  loop_.dispose(std::move(found->second));
+  if (const auto place = places_.find(found->second.address); place != places_.end()) {
+    place->second->pool.gone(now(), found->second.id);
+    place->second->sessions.erase(found->second.id);
+  }
+  loop_.dispose(std::move(found->second.session));
   all_.erase(found);
 }
 
 std::unique_ptr<Call> NodeClient::begin(const Node& node, const Prompt& prompt, Micros within,
                                         Attempt& attempt) {
-  return std::make_unique<RunCall>(session(node.address), node, prompt, within, attempt);
+  if (auto taken = take(node.address))
+    return std::make_unique<RunCall>(*taken->session, node, prompt, within, attempt, std::move(taken->over));
+  return std::make_unique<UnsentCall>(loop_, [&attempt] {
+    attempt.done({Outcome::connect_failed, 0, {}, "no connection has a place", false});
+  });
+}
+
+std::unique_ptr<Call> NodeClient::simple(const Node& node, std::string_view method, std::string framed,
+                                         std::function<void(const Result&)> done) {
+  if (auto taken = take(node.address))
+    return std::make_unique<SimpleCall>(*taken->session, node, method, std::move(framed), std::move(done), std::move(taken->over));
+  return std::make_unique<UnsentCall>(loop_, [done = std::move(done)] {
+    const auto told = done;  // whoever is told may let go of the call, and of what is told with it
+    told({Outcome::connect_failed, 0, {}, "no connection has a place", false});
+  });
 }
 
 std::unique_ptr<Call> NodeClient::release(const Node& node, const std::string& id,
                                           std::function<void(bool)> done) {
   v1::ReleaseRequest request;
   request.set_id(id);
-  return std::make_unique<SimpleCall>(session(node.address), node, "Release", frame(request),
-                                      [done = std::move(done)](const Result& result) {
-                                        done(result.outcome == Outcome::ok);
-                                      });
+  return simple(node, "Release", frame(request),
+                [done = std::move(done)](const Result& result) { done(result.outcome == Outcome::ok); });
 }
 
 std::unique_ptr<Call> NodeClient::probe(const Node& node, std::function<void(const Result&)> done) {
-  return std::make_unique<SimpleCall>(session(node.address), node, "Load", frame(v1::LoadRequest()),
-                                      std::move(done));
+  return simple(node, "Load", frame(v1::LoadRequest()), std::move(done));
 }
 
 void NodeClient::hang_up(const Node& node) {
-  const auto found = current_.find(node.address);
-  if (found != current_.end() && found->second && found->second->quiet()) found->second->go_away();
+  const auto found = places_.find(node.address);
+  if (found == places_.end()) return;
+  std::vector<Session*> quiet;
+  for (const auto& [id, session] : found->second->sessions)
+    if (session->quiet()) quiet.push_back(session);
+  for (Session* session : quiet) session->go_away();
 }
 
 }  // namespace lemonroute::grpc
--- a/src/grpc/session.cpp
+++ b/src/grpc/session.cpp
@@ -11,6 +11,8 @@
 constexpr std::size_t most_unsent = 64 * 1024;  // handed to the connection ahead of the socket
 constexpr std::size_t drained_below = 16 * 1024;
 constexpr std::size_t most_header_bytes = 16 * 1024;
+constexpr std::chrono::seconds look_again{1};
+constexpr std::size_t most_input = 64 * 1024;  // read ahead of what is handled, of each connection
 
 std::vector<nghttp2_nv> to_nv(const Headers& headers) {
   std::vector<nghttp2_nv> nv;
@@ -31,11 +33,15 @@
       limits_(limits),
       server_(true),
       connected_(true),
+      guard_(limits.guard),
       self_(std::make_shared<Session*>(this)),
       connect_timer_(loop, [this] { close(); }),
-      ping_timer_(loop, [this] { close(); }),
+      ping_timer_(loop, [this] { unheard(); }),
+      look_timer_(loop, [this] { look(); }),
+      last_timer_(loop, [this] { last_call(); }),
       connection_(new net::Connection(loop, accepted, *this)) {
   connect_timer_.start(limits.greeting_timeout);  // guards against peers that connect and say nothing
+  look_timer_.start(look_again);
   start(true);
 }
 
@@ -45,9 +51,12 @@
       limits_(limits),
       server_(false),
       connected_(false),
+      guard_(limits.guard),
       self_(std::make_shared<Session*>(this)),
       connect_timer_(loop, [this] { close(); }),
-      ping_timer_(loop, [this] { close(); }),
+      ping_timer_(loop, [this] { unheard(); }),
+      look_timer_(loop, [this] { look(); }),
+      last_timer_(loop, [this] { last_call(); }),
       connection_(new net::Connection(loop, net::Endpoint(address), *this)) {
   connect_timer_.start(connection_->started() ? limits.connect_timeout : std::chrono::microseconds(0));
   start(false);
@@ -59,10 +68,13 @@
   static const auto made = [] {
     nghttp2_session_callbacks* c = nullptr;
     nghttp2_session_callbacks_new(&c);
+    nghttp2_session_callbacks_set_on_begin_frame_callback(
+        c, [](nghttp2_session*, const nghttp2_frame_hd* head, void* self) { return session_of(self).frame_begun(*head); });
     nghttp2_session_callbacks_set_on_begin_headers_callback(
         c, [](nghttp2_session*, const nghttp2_frame* frame, void* self) {
           Session& s = session_of(self);
-          if (s.server_ && frame->headers.cat == NGHTTP2_HCAT_REQUEST) s.streams_[frame->hd.stream_id];
+          if (s.server_ && frame->headers.cat == NGHTTP2_HCAT_REQUEST)
+            s.streams_[frame->hd.stream_id].opened = Guard::Clock::now();
           if (auto* stream = s.stream(frame->hd.stream_id)) stream->incoming.clear();
           return 0;
         });
@@ -73,7 +85,14 @@
           if (!stream) return 0;
           std::size_t size = name_size + value_size;
           for (const auto& [n, v] : stream->incoming) size += n.size() + v.size();
-          if (size > most_header_bytes) return static_cast<int>(NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE);
+          if (size > most_header_bytes) {
+            Session& s = session_of(self);
+            if (s.server_ && !s.abuse_) {
+              s.abuse_ = s.guard_.happened(Guard::Clock::now(), Abuse::headers);
+              s.owner_.overdone(s, Abuse::headers, false);
+            }
+            return static_cast<int>(s.abuse_ ? NGHTTP2_ERR_CALLBACK_FAILURE : NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE);
+          }
           stream->incoming.emplace_back(std::string(reinterpret_cast<const char*>(name), name_size),
                                         std::string(reinterpret_cast<const char*>(value), value_size));
           return 0;
@@ -81,7 +100,7 @@
     nghttp2_session_callbacks_set_on_frame_recv_callback(
         c, [](nghttp2_session*, const nghttp2_frame* frame, void* self) {
           session_of(self).frame_received(*frame);
-          return 0;
+          return session_of(self).abuse_ ? static_cast<int>(NGHTTP2_ERR_CALLBACK_FAILURE) : 0;
         });
     nghttp2_session_callbacks_set_on_data_chunk_recv_callback(
         c, [](nghttp2_session* session, std::uint8_t, std::int32_t id, const std::uint8_t* bytes,
@@ -106,6 +125,7 @@
         c, [](nghttp2_session*, const nghttp2_frame* frame, void* self) {
           Session& s = session_of(self);
           auto* stream = s.stream(frame->hd.stream_id);
+          if (frame->hd.type == NGHTTP2_DATA) s.guard_.sent_data();
           if (stream && (frame->hd.type == NGHTTP2_DATA || frame->hd.type == NGHTTP2_HEADERS) &&
               (frame->hd.flags & NGHTTP2_FLAG_END_STREAM))
             stream->sent_at = s.written_ + frame->hd.length + 9;
@@ -180,6 +200,7 @@
 void Session::write(std::int32_t id, std::string bytes) {
   Stream* stream = this->stream(id);
   if (!stream) return;
+  if (stream->out_size == 0) stream->moved = Guard::Clock::now();  // from here on the peer may let us wait
   stream->out_size += bytes.size();
   stream->full = stream->full || stream->out_size >= most_unsent;
   stream->out.push_back(std::move(bytes));
@@ -241,6 +262,7 @@
     }
   }
   stream->out_size -= filled;
+  if (filled > 0) stream->moved = Guard::Clock::now();
   if (stream->out.empty() && stream->ended) {
     *flags |= NGHTTP2_DATA_FLAG_EOF;
     if (!stream->trailers.empty()) {
@@ -290,22 +312,94 @@
 void Session::check_alive() {
   if (closed_ || !connected_ || ping_timer_.pending()) return;
   nghttp2_submit_ping(session_.get(), NGHTTP2_FLAG_NONE, nullptr);
-  ping_timer_.start(limits_.ping_timeout);
+  ping_timer_.start(limits_.ping_timeout / 4);
   flush_soon();
 }
 
+// The connection goes on taking calls until the answer is late: what a call that was given up left behind is released
+// on the same one, behind its reset, and must not overtake it.
+void Session::unheard() {
+  if (doubted_) return close();
+  doubt(true);
+  ping_timer_.start(limits_.ping_timeout - limits_.ping_timeout / 4);
+}
+
+void Session::doubt(bool on) {
+  if (!server_ && !closed_ && std::exchange(doubted_, on) != on) owner_.doubted(*this, on);
+}
+
 void Session::go_away() {
   if (closed_ || std::exchange(going_, true)) return;
+  if (!server_) {
+    nghttp2_submit_goaway(session_.get(), NGHTTP2_FLAG_NONE, 0, NGHTTP2_NO_ERROR, nullptr, 0);
+  } else {
+    nghttp2_submit_shutdown_notice(session_.get());
+    // What the peer had sent before it read the notice has arrived once this is answered.
+    nghttp2_submit_ping(session_.get(), NGHTTP2_FLAG_NONE, nullptr);
+    last_timer_.start(limits_.last_call);
+  }
+  flush_soon();
+}
+
+void Session::last_call() {
+  last_timer_.stop();
+  if (closed_ || std::exchange(counted_out_, true)) return;
   nghttp2_submit_goaway(session_.get(), NGHTTP2_FLAG_NONE,
                         nghttp2_session_get_last_proc_stream_id(session_.get()), NGHTTP2_NO_ERROR, nullptr, 0);
   flush_soon();
 }
 
+// ---- What a client may do ---------------------------------------------------------------------------------
+
+int Session::frame_begun(const nghttp2_frame_hd& head) {
+  if (!server_) return 0;
+  abuse_ = guard_.frame(Guard::Clock::now(), head.type, head.flags, head.length);
+  return abuse_ ? static_cast<int>(NGHTTP2_ERR_CALLBACK_FAILURE) : 0;
+}
+
+// Guards the clients beside it: only this connection ends, and is told why.
+void Session::overdone(Abuse abuse) {
+  if (closed_) return;
+  logging::info() << "an HTTP/2 connection is closed: " << word(abuse);
+  owner_.overdone(*this, abuse, true);
+  nghttp2_session_terminate_session(session_.get(), NGHTTP2_ENHANCE_YOUR_CALM);
+  flush();
+  if (closed_) return;
+  connection_->push();
+  close();
+}
+
+// Once a second for a client's connection: requests that do not end, answers that nobody takes, idleness and age.
+void Session::look() {
+  const auto now = Guard::Clock::now();
+  std::vector<std::pair<std::int32_t, Abuse>> late;
+  for (const auto& [id, stream] : streams_) {
+    if (!stream.events && stream.out_size == 0) continue;
+    if (!stream.whole && now - stream.opened > guard_.limits().request) late.emplace_back(id, Abuse::half_open);
+    else if (stream.out_size > 0 && stream.moved != Guard::Clock::time_point{} && now - stream.moved > guard_.limits().taking)
+      late.emplace_back(id, Abuse::stalled);
+  }
+  for (const auto& [id, abuse] : late) {
+    owner_.overdone(*this, abuse, false);
+    if (guard_.happened(now, abuse)) return overdone(abuse);
+    Stream* stream = this->stream(id);
+    StreamEvents* events = stream ? std::exchange(stream->events, nullptr) : nullptr;
+    reset(id, NGHTTP2_CANCEL);
+    if (events) events->closed(NGHTTP2_CANCEL, false);
+  }
+  if (!streams_.empty()) rests_ = now;
+  const double part = 1 - 0.1 * std::clamp(limits_.jitter, 0.0, 1.0);
+  const auto over = [&](Guard::Clock::time_point since, std::chrono::microseconds span) { return now - since > span * part; };
+  if (!going_ && (over(rests_, limits_.idle) || over(since_, limits_.age))) go_away();
+  look_timer_.start(look_again);
+}
+
 // ---- What comes in ----------------------------------------------------------------------------------------
 
 void Session::on_connected() {
   connected_ = true;
   connect_timer_.stop();
+  if (!server_) owner_.connected(*this);
   flush();
 }
 
@@ -323,6 +417,7 @@
   while (!closed_ && evbuffer_get_length(input) > 0) {
     const std::size_t size = evbuffer_get_contiguous_space(input);
     const ssize_t taken = nghttp2_session_mem_recv(session_.get(), evbuffer_pullup(input, static_cast<ev_ssize_t>(size)), size);
+    if (taken < 0 && abuse_) return overdone(*abuse_);
     if (taken < 0) {
       // Guards against a peer that does not speak HTTP/2: the session can't go on, other peers are not hurt.
       logging::info() << "an HTTP/2 connection is closed: " << nghttp2_strerror(static_cast<int>(taken));
@@ -336,10 +431,19 @@
 void Session::frame_received(const nghttp2_frame& frame) {
   const std::int32_t id = frame.hd.stream_id;
   connect_timer_.stop();
-  if (frame.hd.type == NGHTTP2_GOAWAY) going_ = true;
-  if (frame.hd.type == NGHTTP2_PING && (frame.hd.flags & NGHTTP2_FLAG_ACK)) ping_timer_.stop();
+  const bool ack = frame.hd.flags & NGHTTP2_FLAG_ACK;
+  if (frame.hd.type == NGHTTP2_GOAWAY && !std::exchange(going_, true) && !server_) owner_.going(*this);
+  if (frame.hd.type == NGHTTP2_PING && ack) {
+    if (last_timer_.pending()) last_call();
+    ping_timer_.stop();
+    doubt(false);
+  }
+  if (frame.hd.type == NGHTTP2_SETTINGS && !ack && !server_)
+    owner_.allowed(*this, nghttp2_session_get_remote_settings(session_.get(), NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS));
   Stream* stream = this->stream(id);
   if (!stream) return;
+  if (frame.hd.type == NGHTTP2_RST_STREAM && server_ && !stream->responded && !abuse_)
+    abuse_ = guard_.reset_early(Guard::Clock::now());
   if (frame.hd.type == NGHTTP2_HEADERS) {
     if (server_ && frame.headers.cat == NGHTTP2_HCAT_REQUEST) {
       stream->events = owner_.opened(*this, id, stream->incoming);
@@ -350,8 +454,10 @@
   }
   const bool may_end = frame.hd.type == NGHTTP2_HEADERS || frame.hd.type == NGHTTP2_DATA;
   stream = this->stream(id);
-  if (may_end && (frame.hd.flags & NGHTTP2_FLAG_END_STREAM) && stream && stream->events)
-    stream->events->half_closed();
+  if (may_end && (frame.hd.flags & NGHTTP2_FLAG_END_STREAM) && stream) {
+    stream->whole = true;
+    if (stream->events) stream->events->half_closed();
+  }
 }
 
 bool Session::sent(const Stream& stream) const {
@@ -370,8 +476,7 @@
 
 void Session::close() {
   if (std::exchange(closed_, true)) return;
-  connect_timer_.stop();
-  ping_timer_.stop();
+  for (net::Timer* timer : {&connect_timer_, &ping_timer_, &look_timer_, &last_timer_}) timer->stop();
   while (!streams_.empty()) {
     const auto first = streams_.begin();
     StreamEvents* events = first->second.events;
--- a/src/grpc/session.h
+++ b/src/grpc/session.h
@@ -6,8 +6,10 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
+#include "grpc/limits.h"
 #include "grpc/message.h"
 #include "net/connection.h"
 
@@ -36,6 +38,13 @@
   // A server's new stream. Without events it is reset.
   virtual StreamEvents* opened(Session&, std::int32_t, const Headers&) { return nullptr; }
   virtual void closed(Session& session) = 0;  // the owner disposes of the session
+  // ---- of a client's session ----
+  virtual void connected(Session&) {}
+  virtual void allowed(Session&, std::uint32_t) {}  // streams at once, by the peer's SETTINGS
+  virtual void going(Session&) {}                   // GOAWAY has come: no new requests
+  virtual void doubted(Session&, bool) {}           // whether a ping is out that has not been answered
+  // ---- of a server's session ----
+  virtual void overdone(Session&, Abuse, bool) {}  // the peer; true: the connection ends for it, else one stream
 };
 
 class Session : net::Connection::Handler {
@@ -45,6 +54,12 @@
     std::chrono::microseconds greeting_timeout{std::chrono::seconds(2)};  // for a client's first frame
     std::chrono::microseconds ping_timeout{std::chrono::seconds(1)};
     std::uint32_t streams = 128;
+    // Of a server: a connection without calls is ended after `idle`, any after `age`, each shortened by up to a tenth
+    // by `jitter` (0 to 1), so that clients which came together do not leave together.
+    std::chrono::microseconds idle{std::chrono::minutes(5)}, age{std::chrono::minutes(30)};
+    double jitter = 0;
+    std::chrono::microseconds last_call{std::chrono::milliseconds(500)};  // from "no more" to the last number that counts
+    Guard::Limits guard{};
   };
   Session(net::Loop& loop, evutil_socket_t accepted, SessionOwner& owner, Limits limits);         // server
   Session(net::Loop& loop, const std::string& address, SessionOwner& owner, Limits limits);  // client
@@ -63,7 +78,9 @@
   std::size_t waiting(std::int32_t id) const;       // bytes written that have not left
   void hold_back(std::int32_t id, bool on);         // lets the peer wait with its data
   void check_alive();                               // closes the connection unless the peer answers a ping
-  void go_away();                                   // takes no more streams
+  // Takes no more streams. A server says so in two steps (RFC 9113, 6.8): first that it will, then, once calls that
+  // were under way have arrived, which was the last; so none of them is lost.
+  void go_away();
   void close();                                     // now; open streams are told
 
  private:
@@ -74,7 +91,8 @@
     std::size_t out_offset = 0, out_size = 0, unconsumed = 0;
     Headers trailers;
     bool responded = false, ended = false, held_back = false, parked = false, full = false;
-    bool told_written = false;
+    bool told_written = false, whole = false;  // whole: the request has come to its end
+    Guard::Clock::time_point opened{}, moved{};  // moved: when some of the answer was last taken
     std::uint64_t sent_at = 0;  // count of bytes written when the last of it went out; 0 = not yet
   };
   struct Free {
@@ -88,6 +106,12 @@
   void on_drained() override;
   void on_closed() override { close(); }
   void frame_received(const nghttp2_frame& frame);
+  int frame_begun(const nghttp2_frame_hd& head);
+  void overdone(Abuse abuse);  // the connection ends
+  void look();                 // at what takes too long
+  void last_call();
+  void unheard();  // the answer to a ping is late, or does not come at all
+  void doubt(bool on);
   void stream_closed(std::int32_t id, std::uint32_t code);
   bool sent(const Stream& stream) const;
   ssize_t fill(std::int32_t id, std::uint8_t* buffer, std::size_t size, std::uint32_t* flags);
@@ -98,11 +122,14 @@
   net::Loop& loop_;
   SessionOwner& owner_;
   Limits limits_;
-  bool server_, connected_, closed_ = false, going_ = false, flush_pending_ = false;
+  bool server_, connected_, closed_ = false, going_ = false, flush_pending_ = false, counted_out_ = false, doubted_ = false;
+  Guard guard_;
+  std::optional<Abuse> abuse_;
+  Guard::Clock::time_point since_ = Guard::Clock::now(), rests_ = since_;
   std::uint64_t written_ = 0;
   std::map<std::int32_t, Stream> streams_;
   std::shared_ptr<Session*> self_;  // outlived by weak references of deferred jobs
-  net::Timer connect_timer_, ping_timer_;
+  net::Timer connect_timer_, ping_timer_, look_timer_, last_timer_;
   std::unique_ptr<nghttp2_session, Free> session_;
   std::unique_ptr<net::Connection> connection_;
 };
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -89,6 +89,10 @@
          recv(bufferevent_getfd(bev_.get()), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
          (errno == EAGAIN || errno == EWOULDBLOCK);
 }
+void Connection::push() {
+  evbuffer* output = bufferevent_get_output(bev_.get());
+  if (evbuffer_get_length(output) > 0) evbuffer_write(output, bufferevent_getfd(bev_.get()));
+}
 void Connection::end_sending() { shutdown(bufferevent_getfd(bev_.get()), SHUT_WR); }
 void Connection::poke() {
   bufferevent_trigger(bev_.get(), EV_READ, static_cast<int>(BEV_OPT_DEFER_CALLBACKS) | BEV_TRIG_IGNORE_WATERMARKS);
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -58,6 +58,7 @@
   void read(bool on);              // backpressure: off leaves bytes with the sender
   void limit_input(std::size_t n);  // most bytes buffered here before the sender has to wait
   void end_sending();
+  void push();  // writes what the kernel takes of it at once, before a close that would drop it
   void poke();  // calls on_readable again, from the loop, for bytes that have been left in input()
 
  private:
