--- a/src/cli/program.cpp
+++ b/src/cli/program.cpp
@@ -8,6 +8,7 @@
 #include "discovery/watch.h"
 #include "grpc/front.h"
 #include "grpc/node_client.h"
+#include "grpc/reflection.h"
 #include "http/front.h"
 #include "http/node_client.h"
 #include "ops/agent_check.h"
@@ -119,9 +120,11 @@
           places(static_cast<std::size_t>(settings.grpc_connections)) {
       server.add(front);
       server.add(health);
+      server.add(reflection);
     }
     grpc::Front front;
     ops::HealthService health;
+    grpc::Reflection reflection;
     grpc::Server server;
     std::size_t places;
   };
--- a/src/grpc/front.cpp
+++ b/src/grpc/front.cpp
@@ -1,5 +1,7 @@
 #include "grpc/front.h"
 
+#include "grpc/status_details.h"
+
 #include "proto/lemonroute.pb.h"
 
 namespace lemonroute::grpc {
@@ -56,7 +58,7 @@
   bool event(std::string_view data) override {
     v1::GenerateEvent event;
     event.set_data(std::string(data));
-    return call_.send(frame(event));
+    return call_.send_message(event);
   }
   void finish() override { end(Status::ok, ""); }
   void refuse(Micros stay_away) override {
@@ -66,16 +68,17 @@
       pushback.emplace_back(
           "grpc-retry-pushback-ms",
           std::to_string(std::chrono::ceil<std::chrono::milliseconds>(stay_away).count()));
-    end(Status::unavailable, "refused, try again", pushback);
+    end(Status::unavailable, "refused, try again", "REFUSED", std::move(pushback), stay_away);
   }
   void fail(Failure why) override {
-    if (why == Failure::timed_out) end(Status::deadline_exceeded, "no answer in time");
-    else if (why == Failure::unfit) end(Status::invalid_argument, "no node can use the request");
-    else end(Status::internal, "the nodes failed");
+    if (why == Failure::timed_out) end(Status::deadline_exceeded, "no answer in time", "NO_ANSWER_IN_TIME");
+    else if (why == Failure::unfit) end(Status::invalid_argument, "no node can use the request", "UNFIT_FOR_NODES");
+    else end(Status::internal, "the nodes failed", "NODES_FAILED");
   }
-  void cut() override { end(Status::aborted, "the stream broke"); }
-  void end(Status status, std::string_view text, const Headers& more = {}) {
+  void cut() override { end(Status::aborted, "the stream broke", "STREAM_BROKE"); }
+  void end(Status status, std::string_view text, std::string_view reason = {}, Headers more = {}, Micros retry = {}) {
     taken_ = false;
+    if (!reason.empty()) more.push_back(status_details(status, text, reason, retry));
     call_.finish(status, text, more);
   }
 
--- a/src/grpc/limits.cpp
+++ b/src/grpc/limits.cpp
@@ -66,6 +66,21 @@
 std::optional<Abuse> Guard::reset_early(Clock::time_point now) { return spend(now, Abuse::resets); }
 std::optional<Abuse> Guard::happened(Clock::time_point now, Abuse abuse) { return spend(now, abuse); }
 
+std::optional<Abuse> Guard::unknown(Clock::time_point now, std::size_t bytes) {
+  constexpr double smallest_frame = 9;
+  return spend(now, Abuse::priorities, static_cast<double>(bytes) / smallest_frame);
+}
+
+bool Guard::opens(std::int32_t id) {
+  constexpr std::size_t most_passed_over = 64;
+  if (id <= last_) return passed_over_.count(id) == 0;
+  for (std::int32_t skipped = std::max(last_ + 2, id - 2 * static_cast<std::int32_t>(most_passed_over)); skipped < id; skipped += 2)
+    passed_over_.insert(skipped);
+  while (passed_over_.size() > most_passed_over) passed_over_.erase(passed_over_.begin());
+  last_ = id;
+  return true;
+}
+
 // Two for each frame, one for the stream and one for the connection.
 void Guard::sent_data() { updates_in_order_ = std::min(most_in_order, updates_in_order_ + 2); }
 
--- a/src/grpc/limits.h
+++ b/src/grpc/limits.h
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <cstdint>
 #include <optional>
+#include <set>
 
 namespace lemonroute::grpc {
 
@@ -55,6 +56,11 @@
   std::optional<Abuse> frame(Clock::time_point now, std::uint8_t type, std::uint8_t flags, std::size_t length);
   std::optional<Abuse> reset_early(Clock::time_point now);   // the peer reset a stream that was not answered
   std::optional<Abuse> happened(Clock::time_point now, Abuse abuse);  // any other, counted by whoever saw it
+  // Bytes of frames that the HTTP/2 library passes over without a word.
+  std::optional<Abuse> unknown(Clock::time_point now, std::size_t bytes);
+  // A stream id in the order in which ids are used. False: one that was passed over before and is thereby closed
+  // (RFC 9113, 5.1.1); the library takes it for one that it has forgotten.
+  bool opens(std::int32_t id);
   void sent_data();                                          // a DATA frame went out: one more update is in order
   const Limits& limits() const { return limits_; }
 
@@ -66,6 +72,8 @@
   std::optional<Abuse> spend(Clock::time_point now, Abuse abuse, double amount = 1);
   Limits limits_;
   std::array<Level, static_cast<std::size_t>(Abuse::count)> levels_{};
+  std::int32_t last_ = -1;
+  std::set<std::int32_t> passed_over_;  // the last ones
   double continuations_ = 0;   // in the block that is open
   double updates_in_order_ = 0;
 };
--- a/src/grpc/message.cpp
+++ b/src/grpc/message.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <charconv>
 
+#include "grpc/compression.h"
+
 namespace lemonroute::grpc {
 namespace {
 
@@ -14,6 +16,14 @@
   return length;
 }
 
+constexpr std::size_t worth_compressing = 1024;
+
+std::string framed(std::string_view message, bool compressed) {
+  std::string bytes(1, compressed ? '\1' : '\0');
+  for (int shift = 24; shift >= 0; shift -= 8) bytes += static_cast<char>(message.size() >> shift & 0xff);
+  return bytes.append(message);
+}
+
 }  // namespace
 
 std::string_view find(const Headers& headers, std::string_view name) {
@@ -21,10 +31,12 @@
   return found == headers.end() ? std::string_view() : std::string_view(found->second);
 }
 
-std::string frame(std::string_view message) {
-  std::string bytes(1, '\0');  // not compressed
-  for (int shift = 24; shift >= 0; shift -= 8) bytes += static_cast<char>(message.size() >> shift & 0xff);
-  return bytes.append(message);
+std::string frame(std::string_view message) { return framed(message, false); }
+
+std::string frame(std::string_view message, Encoding encoding) {
+  if (encoding == Encoding::identity || message.size() < worth_compressing) return framed(message, false);
+  const std::string smaller = compress(encoding, message);
+  return smaller.size() < message.size() ? framed(smaller, true) : framed(message, false);
 }
 
 std::optional<Status> MessageReader::feed(std::string_view piece,
@@ -32,11 +44,20 @@
   pending_ += piece;
   std::string_view rest = pending_;
   while (rest.size() >= prefix_size) {
-    if (rest[0] != 0) return rest[0] == 1 ? Status::unimplemented : Status::internal;
+    // A message that says to be compressed where no compression was agreed on is a fault of the peer's.
+    const bool compressed = rest[0] == 1;
+    if (rest[0] != 0 && (!compressed || encoding_ == Encoding::identity)) return Status::internal;
     const std::size_t length = length_of(rest);
     if (length > most_message) return Status::resource_exhausted;
     if (rest.size() < prefix_size + length) break;
-    message(rest.substr(prefix_size, length));
+    std::string whole;
+    if (compressed) {
+      // Guards against a small message that would inflate without end.
+      if (const auto fault = decompress(encoding_, rest.substr(prefix_size, length), most_message, whole)) return fault;
+      message(whole);
+    } else {
+      message(rest.substr(prefix_size, length));
+    }
     rest.remove_prefix(prefix_size + length);
   }
   pending_.erase(0, pending_.size() - rest.size());
--- a/src/grpc/message.h
+++ b/src/grpc/message.h
@@ -31,7 +31,11 @@
 
 constexpr std::size_t most_message = 256 * 1024 + 4096;  // a body of 256 KiB and its fields
 
+enum class Encoding { identity, gzip, deflate };
+
 std::string frame(std::string_view message);
+// Compressed, if that makes it smaller and it is long enough to be worth it.
+std::string frame(std::string_view message, Encoding encoding);
 template <class Message>
   requires requires(const Message& message) { message.SerializeAsString(); }
 std::string frame(const Message& message) {
@@ -41,11 +45,13 @@
 // Puts messages together again. A fault ends the call with its status.
 class MessageReader {
  public:
+  void encoding(Encoding encoding) { encoding_ = encoding; }  // of messages that say they are compressed
   std::optional<Status> feed(std::string_view piece, const std::function<void(std::string_view)>& message);
   bool between() const { return pending_.empty(); }
 
  private:
   std::string pending_;
+  Encoding encoding_ = Encoding::identity;
 };
 
 // The value of grpc-timeout: up to eight digits and a unit.
--- a/src/grpc/node_client.cpp
+++ b/src/grpc/node_client.cpp
@@ -2,6 +2,7 @@
 
 #include <charconv>
 
+#include "grpc/compression.h"
 #include "proto/lemonroute.pb.h"
 
 namespace lemonroute::grpc {
@@ -23,7 +24,8 @@
                     {":path", "/lemonroute.v1.Node/" + std::string(method)},
                     {":authority", std::string(authority)},
                     {"content-type", "application/grpc"},
-                    {"te", "trailers"}};
+                    {"te", "trailers"},
+                    {"grpc-accept-encoding", std::string(accepted_encodings)}};
     headers.insert(headers.end(), more.begin(), more.end());
     id_ = session.request(headers, std::move(framed), *this);
   }
@@ -56,6 +58,8 @@
   }
   void headers(const Headers& headers) override {
     answered_ = true;
+    if (const auto name = find(headers, "grpc-encoding"); !name.empty())
+      reader_.encoding(parse_encoding(name).value_or(Encoding::identity));
     if (const auto load = find(headers, "srv-load"); !load.empty()) end_.load = load;
     end_.declined = end_.declined || find(headers, "srv-declined") == "1";
     const auto text = find(headers, "grpc-status");
@@ -76,7 +80,8 @@
   void closed(std::uint32_t code, bool sent) override {
     session_ = nullptr;
     if (has_status_) end_.how = Ending::whole;
-    else if (!sent) end_.how = Ending::not_sent;
+    // Whatever the code says: of one that was answered it can't be true that it was not handled.
+    else if (!sent && !answered_) end_.how = Ending::not_sent;
     else end_.how = code == 0 ? Ending::malformed : Ending::broken;
     leave();
     ended(end_);
--- a/src/grpc/server.h
+++ b/src/grpc/server.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <memory>
+#include <random>
 #include <string>
 
 #include "grpc/session.h"
@@ -17,6 +18,9 @@
  public:
   virtual ~Method() = default;
   virtual void message(std::string_view bytes) = 0;  // the request, whole
+  // A method that takes many messages gets each as it comes, and is told when there are no more.
+  virtual bool streams() const { return false; }
+  virtual void half_closed() {}
   virtual void drained() {}                          // more may be sent
 };
 
@@ -30,8 +34,16 @@
 // The transport's side of one call, for the method to answer through.
 class ServerCall : StreamEvents {
  public:
-  ServerCall(Session& session, std::int32_t id) : session_(session), id_(id) {}
+  // `reads`, `writes`: what messages may be compressed by, each way.
+  ServerCall(Session& session, std::int32_t id, Encoding reads, Encoding writes) : session_(session), id_(id), writes_(writes) {
+    reader_.encoding(reads);
+  }
   bool send(const std::string& framed);  // false: hold the rest back until Method::drained
+  template <class Message>
+    requires requires(const Message& message) { message.SerializeAsString(); }
+  bool send_message(const Message& message) {
+    return send(frame(std::string_view(message.SerializeAsString()), writes_));
+  }
   void finish(Status status, std::string_view text, const Headers& more = {});  // the call is over; once
 
  private:
@@ -40,11 +52,13 @@
   void data(std::string_view piece) override;
   void half_closed() override;
   void drained() override { method_->drained(); }
+  Headers head() const;
   void closed(std::uint32_t code, bool sent) override;
 
   Session& session_;
   std::int32_t id_;
-  bool responded_ = false, has_message_ = false, over_ = false;
+  Encoding writes_;
+  bool responded_ = false, has_message_ = false, two_ = false, over_ = false;
   std::string message_;
   MessageReader reader_;
   std::unique_ptr<Method> method_;
@@ -54,17 +68,20 @@
 class Server : SessionOwner {
  public:
   // `shared`: another process may listen there as well.
-  Server(net::Loop& loop, const std::string& listen, std::size_t most_connections, bool shared = false);
+  Server(net::Loop& loop, const std::string& listen, std::size_t most_connections, bool shared = false,
+         Session::Limits limits = {});
   ~Server() override;
   void add(Service& service) { services_.push_back(&service); }
   std::uint16_t port() const { return listener_->port(); }
   void limit(std::size_t connections) { admission_.limit(connections); }
   void stop_accepting();  // calls that are open go on
+  const AbuseCounts& abuses() const { return abuses_; }
   bool idle() const { return visits_.empty(); }
 
  private:
   StreamEvents* opened(Session& session, std::int32_t id, const Headers& headers) override;
   void closed(Session& session) override;
+  void overdone(Session& session, Abuse abuse, bool connection) override;
 
   // A connection and how many of its calls are open.
   struct Visit : net::Admission::Guest {
@@ -74,6 +91,9 @@
   };
 
   net::Loop& loop_;
+  Session::Limits limits_;
+  std::minstd_rand random_{std::random_device{}()};  // only spreads the ends of connections
+  AbuseCounts abuses_;
   net::Admission admission_;
   std::vector<Service*> services_;
   std::map<ServerCall*, std::unique_ptr<ServerCall>> calls_;
--- a/src/grpc/session.cpp
+++ b/src/grpc/session.cpp
@@ -12,7 +12,8 @@
 constexpr std::size_t drained_below = 16 * 1024;
 constexpr std::size_t most_header_bytes = 16 * 1024;
 constexpr std::chrono::seconds look_again{1};
-constexpr std::size_t most_input = 64 * 1024;  // read ahead of what is handled, of each connection
+constexpr std::chrono::milliseconds last_words{200};
+constexpr std::size_t frame_head = 9, client_preface = 24;
 
 std::vector<nghttp2_nv> to_nv(const Headers& headers) {
   std::vector<nghttp2_nv> nv;
@@ -295,7 +296,7 @@
 
 void Session::flush() {
   flush_pending_ = false;
-  if (closed_ || !connection_->started()) return;
+  if (closed_ || condemned_ || !connection_->started()) return;
   while (connection_->unsent() < most_unsent) {
     const std::uint8_t* bytes = nullptr;
     const ssize_t size = nghttp2_session_mem_send(session_.get(), &bytes);
@@ -353,7 +354,12 @@
 
 int Session::frame_begun(const nghttp2_frame_hd& head) {
   if (!server_) return 0;
+  begun_ += frame_head + head.length;
   abuse_ = guard_.frame(Guard::Clock::now(), head.type, head.flags, head.length);
+  if (!abuse_ && head.type == NGHTTP2_HEADERS && head.stream_id % 2 == 1 && !guard_.opens(head.stream_id)) {
+    nghttp2_session_terminate_session(session_.get(), NGHTTP2_PROTOCOL_ERROR);
+    return 0;
+  }
   return abuse_ ? static_cast<int>(NGHTTP2_ERR_CALLBACK_FAILURE) : 0;
 }
 
@@ -365,12 +371,18 @@
   nghttp2_session_terminate_session(session_.get(), NGHTTP2_ENHANCE_YOUR_CALM);
   flush();
   if (closed_) return;
+  // Closed with bytes of the peer's unread, the kernel would reset the connection and take the GOAWAY with it; so what
+  // still comes is thrown away for a moment.
+  condemned_ = true;
+  end_streams();
   connection_->push();
-  close();
+  connection_->end_sending();
+  connect_timer_.start(last_words);
 }
 
 // Once a second for a client's connection: requests that do not end, answers that nobody takes, idleness and age.
 void Session::look() {
+  if (condemned_) return;
   const auto now = Guard::Clock::now();
   std::vector<std::pair<std::int32_t, Abuse>> late;
   for (const auto& [id, stream] : streams_) {
@@ -414,16 +426,31 @@
 
 void Session::on_readable() {
   evbuffer* input = connection_->input();
+  if (condemned_) {
+    evbuffer_drain(input, evbuffer_get_length(input));
+    return;
+  }
   while (!closed_ && evbuffer_get_length(input) > 0) {
     const std::size_t size = evbuffer_get_contiguous_space(input);
     const ssize_t taken = nghttp2_session_mem_recv(session_.get(), evbuffer_pullup(input, static_cast<ev_ssize_t>(size)), size);
     if (taken < 0 && abuse_) return overdone(*abuse_);
+    // The library bounds two floods itself: CONTINUATION and answers
+    // that the peer does not take.
+    if (server_ && taken == NGHTTP2_ERR_TOO_MANY_CONTINUATIONS) return overdone(Abuse::continuations);
+    if (server_ && taken == NGHTTP2_ERR_FLOODED) return overdone(Abuse::pings);
     if (taken < 0) {
       // Guards against a peer that does not speak HTTP/2: the session can't go on, other peers are not hurt.
       logging::info() << "an HTTP/2 connection is closed: " << nghttp2_strerror(static_cast<int>(taken));
       return close();
     }
     evbuffer_drain(input, static_cast<std::size_t>(taken));
+    received_ += static_cast<std::uint64_t>(taken);
+    // A session that is ending passes everything over.
+    if (server_ && nghttp2_session_want_read(session_.get()) && received_ > begun_ + client_preface + frame_head) {
+      const auto passed_over = received_ - begun_ - client_preface - frame_head;
+      begun_ += passed_over;
+      if ((abuse_ = guard_.unknown(Guard::Clock::now(), passed_over))) return overdone(*abuse_);
+    }
   }
   if (!closed_) flush();
 }
@@ -477,6 +504,12 @@
 void Session::close() {
   if (std::exchange(closed_, true)) return;
   for (net::Timer* timer : {&connect_timer_, &ping_timer_, &look_timer_, &last_timer_}) timer->stop();
+  end_streams();
+  if (connection_->started()) connection_->end_sending();
+  owner_.closed(*this);
+}
+
+void Session::end_streams() {
   while (!streams_.empty()) {
     const auto first = streams_.begin();
     StreamEvents* events = first->second.events;
@@ -484,8 +517,6 @@
     streams_.erase(first);
     if (events) events->closed(connection_lost, was_sent);
   }
-  if (connection_->started()) connection_->end_sending();
-  owner_.closed(*this);
 }
 
 }  // namespace lemonroute::grpc
--- a/src/grpc/session.h
+++ b/src/grpc/session.h
@@ -110,6 +110,7 @@
   void overdone(Abuse abuse);  // the connection ends
   void look();                 // at what takes too long
   void last_call();
+  void end_streams();
   void unheard();  // the answer to a ping is late, or does not come at all
   void doubt(bool on);
   void stream_closed(std::int32_t id, std::uint32_t code);
@@ -122,9 +123,10 @@
   net::Loop& loop_;
   SessionOwner& owner_;
   Limits limits_;
-  bool server_, connected_, closed_ = false, going_ = false, flush_pending_ = false, counted_out_ = false, doubted_ = false;
+  bool server_, connected_, closed_ = false, going_ = false, flush_pending_ = false, counted_out_ = false, doubted_ = false, condemned_ = false;
   Guard guard_;
   std::optional<Abuse> abuse_;
+  std::uint64_t received_ = 0, begun_ = 0;  // bytes: all that came, and those of frames that were begun
   Guard::Clock::time_point since_ = Guard::Clock::now(), rests_ = since_;
   std::uint64_t written_ = 0;
   std::map<std::int32_t, Stream> streams_;
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -91,7 +91,10 @@
 }
 void Connection::push() {
   evbuffer* output = bufferevent_get_output(bev_.get());
-  if (evbuffer_get_length(output) > 0) evbuffer_write(output, bufferevent_getfd(bev_.get()));
+  if (evbuffer_get_length(output) == 0) return;
+  evbuffer_unfreeze(output, 1);  // the bufferevent keeps its front to itself
+  evbuffer_write(output, bufferevent_getfd(bev_.get()));
+  evbuffer_freeze(output, 1);
 }
 void Connection::end_sending() { shutdown(bufferevent_getfd(bev_.get()), SHUT_WR); }
 void Connection::poke() {
--- a/src/ops/health_service.cpp
+++ b/src/ops/health_service.cpp
@@ -6,14 +6,13 @@
 namespace {
 
 namespace health = ::grpc::health::v1;
-using grpc::frame;
 
-std::string answer(health::HealthCheckResponse::ServingStatus status) {
+health::HealthCheckResponse answer(health::HealthCheckResponse::ServingStatus status) {
   health::HealthCheckResponse response;
   response.set_status(status);
-  return frame(response);
+  return response;
 }
-std::string answer(State state) {
+health::HealthCheckResponse answer(State state) {
   return answer(state == State::up ? health::HealthCheckResponse::SERVING
                                    : health::HealthCheckResponse::NOT_SERVING);
 }
@@ -32,13 +31,13 @@
     const bool known = request.service().empty() || request.service() == "lemonroute.v1.Drafting";
     if (!watch_) {
       if (!known) return call_.finish(grpc::Status::not_found, "no such service");
-      call_.send(answer(status_.state()));
+      call_.send_message(answer(status_.state()));
       return call_.finish(grpc::Status::ok, "");
     }
     // A watch of an unknown service stays open: the service may come later.
-    call_.send(known ? answer(status_.state()) : answer(health::HealthCheckResponse::SERVICE_UNKNOWN));
+    call_.send_message(known ? answer(status_.state()) : answer(health::HealthCheckResponse::SERVICE_UNKNOWN));
     handle_ = status_.watch([this, known](State state) {
-      if (known) call_.send(answer(state));
+      if (known) call_.send_message(answer(state));
       // The last word of a server that ends: a watch left open would keep it from ending.
       if (state == State::draining) call_.finish(grpc::Status::unavailable, "draining");
     });
