--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -151,6 +151,8 @@
          "      names each fault with its file, line and key; exit code 1 if there is one\n"
          "  lemonroute expect init|check|compare|audit ...\n"
          "      what should be decided, written beside the configuration and checked without traffic\n"
+         "  lemonroute call ADDRESS [SERVICE/METHOD] [--data JSON] [--deadline TIME] ...\n"
+         "      one gRPC call, JSON in and out; --list names the methods\n"
          "  lemonroute version\n"
          "  lemonroute help\n\n"
          "Each command has --help.\n";
@@ -193,7 +195,7 @@
     return [&of, name](auto& rest, auto& o, auto& e) { return dispatch(of, rest, o, e, name); };
   };
   const std::map<std::string, Command> commands{
-      {"serve", serve_command},   {"demo", demo_command},           {"version", version_command},
+      {"serve", serve_command},   {"demo", demo_command},   {"call", call_command},           {"version", version_command},
       {"--version", version_command}, {"help", help_command},       {"--help", help_command},
       {"-h", help_command},       {"config", group(config, "config ")}, {"expect", group(expect, "expect ")}};
   try {
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -16,6 +16,7 @@
 int expect_check_command(const std::vector<std::string>& arguments, std::ostream& out, std::ostream& err);
 int expect_compare_command(const std::vector<std::string>& arguments, std::ostream& out, std::ostream& err);
 int expect_audit_command(const std::vector<std::string>& arguments, std::ostream& out, std::ostream& err);
+int call_command(const std::vector<std::string>& arguments, std::ostream& out, std::ostream& err);
 int demo_command(const std::vector<std::string>& arguments, std::ostream& out, std::ostream& err);
 
 // Writes `text` to the file, and says so on `out`, or why not on `err`; returns the exit code.
--- a/tests/net/tools_test.cpp
+++ b/tests/net/tools_test.cpp
@@ -53,7 +53,7 @@
     assert(run(bad).code == 2 && !run(bad).err.empty());
   for (const std::vector<string>& command :
        {std::vector<string>{"serve"}, {"demo"}, {"version"}, {"config", "init"}, {"config", "check"}, {"expect", "init"},
-        {"expect", "check"}, {"expect", "compare"}, {"expect", "audit"}}) {
+        {"expect", "check"}, {"expect", "compare"}, {"expect", "audit"}, {"call"}}) {
     auto asked = command;
     asked.push_back("--help");
     const auto told = run(asked);
