--- a/tests/expect_test.cpp
+++ b/tests/expect_test.cpp
@@ -197,6 +197,21 @@
   }
 }
 
+// A platform's file gives the settings as well as an operator's; a class that it does not know is a fault of the file.
+TEST_F(Expectations, APlatformsFile) {
+  const auto platform = write("p.json", R"({"name":"n","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","settings":{"zones":["a"],
+    "kinds":["reader","writer"],"siblings":1,"extra":{"kind-role":["read","write"],"tokens-by-kind":[200000,150000],"release-us":1000000},
+    "lanes":[{"name":"k","idempotency":"read_like","slo-us":900000,"hard-limit-us":6000000}],
+    "limits":{"max-attempts":6,"conn-idle-us":15000000,"connect-timeout-us":250000,"cancel":true},
+    "safety":{"cold-us":12000000,"cold-from":0.25,"fall-multiple":2.5,"fall-us":1000000}}})");
+  const auto path = file(one(ask, "{ answer = \"served\", attempts = 2 }"));
+  EXPECT_EQ(run({"expect", "check", path, "--platform", platform}).code, 0);
+  EXPECT_EQ(run({"expect", "compare", "--before", (folder / "site.toml").string(), "--after", platform, path}).code, 0);
+  const auto unknown = run({"expect", "check", file(one("{ at = \"0s\", ask = { class = \"once\" } }", "{ attempts = 2 }")), "--platform", platform});
+  EXPECT_EQ(unknown.code, 2);
+  EXPECT_NE(unknown.err.find("'once' is no class of " + platform + ", which knows k"), string::npos) << unknown.err;
+}
+
 TEST_F(Expectations, MisuseIsTold) {
   const auto path = file(one(ask, "{ attempts = 2 }"));
   for (const std::vector<string>& bad :
