Take out a conformance case that could not fail, and tighten the faults' descriptor bound

Cause: on rereading, the case of a window overrun passed whatever came back, since the server gives each byte's window back as it takes it; the bound on descriptors after the faults was far above what a pool may keep. Change: the case is gone, the bound is two ends of four connections a node.

--- a/tests/conformance/server_cases.cpp
+++ b/tests/conformance/server_cases.cpp
@@ -427,15 +427,6 @@
     bed.peer->send(frame(SETTINGS, NONE, 0, setting(4, 0)) + frame(SETTINGS, NONE, 0, setting(4, 65535)));
     return bed.alive(3);
   });
-  list.add("RFC9113 6.9", "more than the window is an error", [](Bed& bed) {
-    bed.hello();
-    string bytes = bed.open(1);
-    for (int i = 0; i < 5; ++i) bytes += frame(DATA, NONE, 1, string(i == 0 ? 5 : 16384, '\0'));
-    // Each byte that we take is given back, so the window must be overrun at once: one stream that nobody reads.
-    bed.peer->send(bytes);
-    const auto got = bed.status_of(1);
-    return got.empty() ? "nothing came" : string();
-  });
   list.add("RFC9113 6.8", "GOAWAY from a client: its open call is answered", [](Bed& bed) {
     bed.hello().send(bed.open(1) + bed.body(1, bed.generate()) + frame(GOAWAY, NONE, 0, number(0) + number(0)));
     return bed.expect(bed.status_of(1), "0");
--- a/tests/net/grpc_faults.cpp
+++ b/tests/net/grpc_faults.cpp
@@ -355,7 +355,7 @@
             << " KiB, all parts in one process\nrules broken: " << world.monitor.breaches().size() << std::endl;
   assert(load.asked == calls && load.open.empty());
   assert(core.idle() && core.open() == 0 && world.held.empty());
-  assert(descriptors() <= descriptors_before + 4 * nodes.size() + nodes.size() * 64);
+  assert(descriptors() <= descriptors_before + 2 * 4 * nodes.size());  // both ends of the connections that a pool keeps
   core.on_change = nullptr;
   return world.monitor.breaches().empty() ? 0 : 1;
 }
