--- a/include/lemonroute/scheduler.h
+++ b/include/lemonroute/scheduler.h
@@ -85,6 +85,12 @@
   std::uint32_t version = 0;
   std::vector<ListEntry> hosts;
 };
+// What others say is kept of a request's prompt at a host. Never depended on: the host's own counts correct it.
+struct KeptHint {
+  HostId host = 0;
+  double tokens = 0;      // of the prompt, from its beginning
+  double confidence = 0;  // 0 to 1
+};
 struct Request {
   RequestId id = 0;
   std::uint16_t cls = 0, tenant = 0;
@@ -93,6 +99,7 @@
   Key shared = 0;
   float prompt = 0, shared_prefix = 0, max_output = 0;
   std::uint8_t flags = 0;  // 1 expected is valid, 2 a repeat, 16 resumed after a break
+  std::vector<KeptHint> hints{};  // a few; empty where conductors share nothing
 };
 struct First {
   RequestId id = 0;
@@ -133,8 +140,12 @@
   std::uint16_t from = 0;
   std::string blob;
 };
-using Event =
-    std::variant<HostList, Request, First, PlaceNote, Completed, Abandoned, Alarm, HealthResult, PeerMessage>;
+// What was kept at that host is gone, as another instance noticed.
+struct Void {
+  HostId host = 0;
+};
+using Event = std::variant<HostList, Request, First, PlaceNote, Completed, Abandoned, Alarm, HealthResult, PeerMessage,
+                           Void>;
 
 // ---- Actions ----
 struct Send {
