Start where the platform allows what is never asked for, and name it in the log

Need: with extra.early-pairing in the settings every conductor ended with 1 at its start (check_supported in src/config/platform.cpp). Places are never held ahead here, since the writer is chosen when the read has ended; nor are second copies sent, and a broken stream goes on by the client's own asking. A permission that is not used breaks no rule, so all three are left out of the settings that the module sees, and one line at the start and at SIGHUP names them. Also found: class and tenant names were taken from the flat lines, where spaces and commas have become '_', so that a client naming its class as the settings do was told 400; they are now taken from the file itself. Test: a configuration of each shape, and one change at a time to every other setting that a deployment may have.

--- a/src/cli/program.cpp
+++ b/src/cli/program.cpp
@@ -61,6 +61,11 @@
 }  // namespace
 
 struct Program::Parts {
+  static void say_unused(const config::Platform& platform) {
+    std::string keys;
+    for (const auto& key : platform.unused) keys += (keys.empty() ? "" : ", ") + key;
+    if (!keys.empty()) logging::info() << "allowed by the settings and not used here: " << keys;
+  }
   Parts(net::Loop& loop, const config::Platform& platform, const config::Operator& settings, Reload again)
       : platform_(platform),
         read_again_(std::move(again)),
@@ -78,6 +83,7 @@
         term_(loop_, SIGTERM, [this] { drain("SIGTERM"); }),
         interrupt_(loop_, SIGINT, [this] { drain("SIGINT"); }),
         hang_up_(loop_, SIGHUP, [this] { reload(); }) {
+    say_unused(platform);
     if (!settings.grpc_listen.empty()) {
       grpc_ = std::make_unique<Grpc>(*this, settings);
       logging::info() << "gRPC on " << settings.grpc_listen;
@@ -190,6 +196,7 @@
         throw config::ConfigError("fixed nodes and discovery can't be exchanged without a restart");
       logging::info() << "SIGHUP: the configuration is taken, " << platform.settings.classes.size()
                       << " classes, " << platform.nodes_from();
+      say_unused(platform);
       platform_.settings = platform.settings;
       platform_.connection_idle = platform.connection_idle;
       nodes_->limit(node_limits(platform_, parts()));
--- a/src/config/platform.cpp
+++ b/src/config/platform.cpp
@@ -4,6 +4,7 @@
 #include <fstream>
 #include <set>
 #include <sstream>
+#include <utility>
 
 #include "net/connection.h"
 #include "wire/settings.h"
@@ -65,11 +66,27 @@
     need(lane, "settings: lanes: ", {"name", "idempotency", "slo-us", "hard-limit-us"});
 }
 
-// Guards against a start with settings whose actions this conductor can't carry out; it would lose requests.
-void check_supported(const Settings& settings) {
-  if (settings.place_ahead) throw ConfigError("settings: extra.early-pairing is not supported on sockets");
-  if (settings.resume) throw ConfigError("settings: extra.resume is not supported on sockets");
-  if (settings.second_copies) throw ConfigError("settings: limits.second-copies is not supported on sockets");
+// Leaves out what the platform allows and this conductor never makes use of, so that nothing comes to depend on it:
+// the writer is chosen when the read has ended, so no place is held ahead; one attempt is out at a time; a stream that
+// broke goes on by the client's asking again, as any request does. Not using them breaks no rule.
+std::vector<std::string> leave_out_unused(Settings& settings) {
+  std::vector<std::string> unused;
+  for (auto [allowed, key] : {std::pair{&settings.place_ahead, "extra.early-pairing"},
+                              std::pair{&settings.resume, "extra.resume"},
+                              std::pair{&settings.second_copies, "limits.second-copies"}})
+    if (std::exchange(*allowed, false)) unused.push_back(key);
+  return unused;
+}
+
+// Guards against clients that name a class or tenant as the file has it: flattened, its spaces and commas are others.
+void keep_names(const json& settings, Settings& to) {
+  const auto& lanes = settings.at("lanes");
+  for (std::size_t i = 0; i < to.classes.size(); ++i) to.classes[i].name = lanes.at(i).at("name").get<std::string>();
+  const auto accounts = settings.find("accounts");
+  for (std::size_t i = 0; i < to.tenants.size(); ++i) to.tenants[i].name = accounts->at(i).value("name", "");
+}
+
+void check_usable(const Settings& settings) {
   if (settings.classes.empty()) throw ConfigError("settings: no classes in lanes");
   if (settings.max_attempts == 0) throw ConfigError("settings: limits.max-attempts must be a positive number");
   std::set<std::string> names;
@@ -105,7 +122,9 @@
       platform.sockets = limits->value("sockets", platform.sockets);
     const json& settings = config.at("settings");
     platform.settings = parse_settings(flatten(settings));
-    check_supported(platform.settings);
+    keep_names(settings, platform.settings);
+    platform.unused = leave_out_unused(platform.settings);
+    check_usable(platform.settings);
     platform.zones = names(settings, "zones");
     platform.kinds = names(settings, "kinds");
     platform.connection_idle = Micros(static_cast<Micros::rep>(
--- a/src/config/platform.h
+++ b/src/config/platform.h
@@ -25,7 +25,8 @@
   std::optional<int> socket;  // the inherited one that listens on `listen` already
   std::uint64_t seed = 0;
   std::size_t sockets = 1024;
-  Settings settings;
+  Settings settings;                // without what `unused` names
+  std::vector<std::string> unused;  // keys of what the platform allows and this conductor never does
   std::vector<std::string> zones, kinds;
   Micros connection_idle{};
   discovery::NodeList known;
--- a/src/core/conductor.h
+++ b/src/core/conductor.h
@@ -92,7 +92,7 @@
   void act(const HangUp& hang_up);
   void act(const Log& log);
   void act(const Release& release);
-  void act(const Evict&) {}      // the settings that allow these are refused at the start
+  void act(const Evict&) {}      // the module never asks for these, whatever the settings allow
   void act(const SetAside&) {}
   void act(const Tell&) {}
   void act(const Subscribe&) {}  // the watch is always on here
