Debug lines for what becomes of requests, and for choices that came to nothing

Need: at the level of attempts a log told what nodes did, never why a client was turned away. Finding what is lost while one process hands over to a newer one took a line for each end of a request.

Change: a debug line where a request is taken, refused, failed or left by its client, for a stream's first event and for a release that arrived or did not; with the level at debug the module's choices that found nobody are written with the reason for each node. At other levels nothing is computed.

--- a/src/cli/program.cpp
+++ b/src/cli/program.cpp
@@ -58,6 +58,19 @@
   return options;
 }
 
+// Why a choice came to nothing. The module builds this for each choice, so it is asked for only where it is logged.
+void log_empty_choice(const Conductor& conductor, const Choice& choice) {
+  if (choice.chosen != 0) return;
+  logging::Line line = logging::debug();
+  line << "choice of a " << (choice.stage == Role::read ? "reader" : "writer") << " for request " << choice.id;
+  if (choice.refused)
+    line << ": wait " << choice.wait.count() / 1000 << " of " << choice.most_wait.count() / 1000 << " ms, load "
+         << choice.load << " of " << choice.most_load;
+  else
+    for (const auto& candidate : choice.candidates)
+      if (candidate.left_out) line << "; " << conductor.name_of(candidate.host) << ' ' << candidate.left_out;
+}
+
 }  // namespace
 
 struct Program::Parts {
@@ -101,6 +114,8 @@
       logging::info() << "management on " << management;
     }
     conductor_.on_change = [this] { changed(); };
+    if (logging::enabled(logging::Level::debug))
+      conductor_.explain([this](const Choice& choice) { log_empty_choice(conductor_, choice); });
     conductor_.update(ListKind::cached, platform.known.version, platform.known.nodes);
     conductor_.keep_bans(processes_.file(".bans"), processes_.lock());
     if (!platform.discovery.empty()) {
--- a/src/core/conductor/actions.cpp
+++ b/src/core/conductor/actions.cpp
@@ -35,6 +35,7 @@
   Client& client = *entry->client;
   end(*entry);
   ++entry->counts->deferred;
+  logging::debug() << entry->prompt.id << " refused after " << entry->attempts << " attempts";
   demand_.refused();
   touched_.push_back(refuse.id);
   client.refuse(refuse.stay_away);
@@ -46,6 +47,7 @@
   Client& client = *entry->client;
   end(*entry);
   ++entry->counts->errored;
+  logging::debug() << entry->prompt.id << " failed after " << entry->attempts << " attempts";
   touched_.push_back(fail.id);
   client.fail(clock_.now() >= entry->deadline ? Failure::timed_out : Failure::gave_up);
 }
--- a/src/core/conductor/attempts.cpp
+++ b/src/core/conductor/attempts.cpp
@@ -36,6 +36,7 @@
   watch_silence(attempt);
   if (!std::exchange(attempt.started, true)) {
     entry.leftover.reset();
+    logging::debug() << entry.prompt.id << " attempt " << attempt.number << " at " << attempt.node << ": streams";
     put(First{attempt.request, attempt.host, attempt.number, clock_.now() - attempt.sent});
   }
   if (!entry.client || entry.client->event(data)) return;
--- a/src/core/conductor/releases.cpp
+++ b/src/core/conductor/releases.cpp
@@ -53,6 +53,7 @@
   if (!node) return again();
   released.call = nodes_.release(*node, released.id, [this, &released, again](bool arrived) {
     timers_.drop(released.timer);
+    logging::debug() << released.id << (arrived ? " is let go" : " could not be let go yet");
     if (arrived) drop_release(released);
     else again();
     if (on_change) on_change();
--- a/src/core/conductor/requests.cpp
+++ b/src/core/conductor/requests.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 
+#include "base/log.h"
 #include "core/conductor/parts.h"
 
 namespace lemonroute {
@@ -59,6 +60,8 @@
   demand_.taken();
 
   entry.deadline = clock_.now() + request.budget;
+  logging::debug() << inquiry.prompt.id << " taken, " << inquiry.kind << ", " << inquiry.prompt_tokens << " tokens, "
+                   << request.budget.count() / 1000 << " ms" << (inquiry.repeat ? ", a repeat" : "");
   put(request);
   return Taken::yes;
 }
@@ -81,6 +84,7 @@
 void Conductor::gone(RequestId id) {
   Entry* entry = find(id);
   if (!entry || !entry->client) return;
+  logging::debug() << entry->prompt.id << " is given up by its client after " << entry->attempts << " attempts";
   end(*entry);
   // A stream that nobody reads ends; the module does not cancel what has started.
   if (entry->out && entry->out->started) done(*entry->out, {Outcome::cancelled, 0, {}, "the client has gone"});
