End what waits before a handed-over process is killed, and get releases past lost nodes

Change: Conductor::end_waits(at): no request waits for its first event past `at`. The hand-over sets it to 0.5 s before the kill (longest deadline, 3 s at the most, plus 0.2 s), so that clients are answered and states let go.

Now the holder is asked first and at every fourth try, the others in turn between, each for a quarter of the settings' time.

--- a/src/cli/program.cpp
+++ b/src/cli/program.cpp
@@ -25,6 +25,9 @@
 // After SIGTERM new connections keep arriving for up to 0.4 s, and may find their first bytes late.
 constexpr milliseconds arrival_window{600};
 constexpr milliseconds end_poll{20};
+// It is killed no sooner than 0.7 s after the longest deadline from SIGTERM on, of which 3 s are counted at the most.
+// What waits for its first event by then is answered half a second before that, and what is held for it let go.
+constexpr milliseconds longest_counted{3000}, waits_after{200};
 constexpr milliseconds pass_again{10};
 // A node taken out at the other process must get nothing from here half a second after the yes.
 constexpr milliseconds look_again{100};
@@ -175,8 +178,14 @@
     front_.hand_over();
     if (grpc_) grpc_->server.stop_accepting();
     agent_.reset();
+    conductor_.end_waits(clock_.now() + last_wait());
     pass_streams();
   }
+  Micros last_wait() const {
+    Micros longest{};
+    for (const auto& one : platform_.settings.classes) longest = std::max(longest, one.deadline);
+    return std::min<Micros>(longest, longest_counted) + waits_after;
+  }
   // A stream may outlast this process's time; each is given away once it stands between two events.
   void pass_streams() {
     conductor_.pass_streams([path = processes_.file(".streams")](const Passing& stream) {
--- a/src/core/conductor.h
+++ b/src/core/conductor.h
@@ -64,6 +64,8 @@
   // Gives away streams that stand between two events, each once `give` has sent it; the others stay.
   void pass_streams(const std::function<bool(const Passing&)>& give);
   bool adopt(const Passing& stream, Client& client, RequestId& id);  // goes on with one that was given
+  // The process is ended soon after `at`: no request waits for its first event longer, one taken later included.
+  void end_waits(Micros at);
 
   // ---- for the loop ----
   std::optional<Micros> next_due() const { return timers_.next(); }
@@ -107,6 +109,7 @@
   void end(Entry& entry);
   void settle();
   void start_release(Entry& entry, HostId holder);
+  const Node* asked_to_release(const Released& released) const;
   void try_release(Released& released);
   void drop_release(Released& released);
   Ordered order(const std::string& node, bool out);
@@ -148,6 +151,7 @@
   std::size_t open_ = 0;
   std::deque<Event> events_;
   std::vector<RequestId> touched_;
+  std::optional<Micros> waits_end_;
   bool pumping_ = false;
 };
 
--- a/src/core/conductor/releases.cpp
+++ b/src/core/conductor/releases.cpp
@@ -1,3 +1,6 @@
+#include <algorithm>
+#include <vector>
+
 #include "base/log.h"
 #include "core/conductor/parts.h"
 
@@ -9,7 +12,9 @@
 using std::chrono::seconds;
 
 constexpr Micros release_again = milliseconds(60);  // between tries to have a state let go
-constexpr Micros release_answer = milliseconds(250);  // a node that is reached has answered by then
+constexpr std::size_t release_round = 4;  // of so many tries one asks the holder
+// A node that is reached has answered by then, or by a part of the time that the settings give.
+constexpr Micros release_answer = milliseconds(250);
 constexpr Micros release_for = seconds(4);  // the node has certainly dropped it itself, or died, by then
 
 }  // namespace
@@ -23,7 +28,21 @@
   try_release(released);
 }
 
-// Asks the holder first. If it can't be reached, every other node may be asked as well, in turn.
+// The holder first, and at every fourth try again; in between every other ready node in turn, each of which takes the
+// call as well. Guards against a holder that is lost and listed still: asked at every second try, and in its turn
+// among the others, it took up all of the time there is to have its state let go.
+const Node* Conductor::asked_to_release(const Released& released) const {
+  const auto holder = known_.find(released.holder);
+  std::vector<const Node*> others;
+  for (const auto& [id, one] : known_)
+    if (one.ready() && id != released.holder) others.push_back(&one);
+  const auto round = released.tries % release_round;
+  if (holder != known_.end() && (round == 0 || others.empty())) return &holder->second;
+  // The id parts requests, so that not all of them ask the same other node.
+  const auto nth = released.request + released.tries - released.tries / release_round;
+  return others.empty() ? nullptr : others[nth % others.size()];
+}
+
 void Conductor::try_release(Released& released) {
   const Entry* entry = find(released.request);
   // Guards the state of a later read: while an attempt is out nothing counts as left, and the call would
@@ -38,17 +57,7 @@
     released.timer = timers_.add(clock_.now() + release_again, [this, &released] { try_release(released); });
   };
   if (wait) return again();
-  const Node* node = nullptr;
-  if (const auto holder = known_.find(released.holder); released.tries % 2 == 0 && holder != known_.end())
-    node = &holder->second;
-  else if (const auto ready = ready_nodes(); ready > 0) {
-    auto nth = (released.tries / 2) % ready;
-    for (const auto& [id, one] : known_)
-      if (one.ready() && nth-- == 0) {
-        node = &one;
-        break;
-      }
-  }
+  const Node* node = asked_to_release(released);
   ++released.tries;
   if (!node) return again();
   released.call = nodes_.release(*node, released.id, [this, &released, again](bool arrived) {
@@ -60,7 +69,10 @@
   });
   // Guards against a machine that has vanished with the connection open: the call never arrives and nothing
   // tells so, while the state goes on being held there or the program waits to end.
-  released.timer = timers_.add(clock_.now() + release_answer, [this, &released, again] {
+  const Micros within = settings_.release_within;
+  const Micros patience =
+      within > Micros(0) ? std::min(release_answer, within / static_cast<Micros::rep>(release_round)) : release_answer;
+  released.timer = timers_.add(clock_.now() + patience, [this, &released, again] {
     released.call.reset();
     again();
   });
--- a/src/core/conductor/requests.cpp
+++ b/src/core/conductor/requests.cpp
@@ -60,6 +60,7 @@
   demand_.taken();
 
   entry.deadline = clock_.now() + request.budget;
+  if (waits_end_) entry.deadline = std::min(entry.deadline, *waits_end_);
   logging::debug() << inquiry.prompt.id << " taken, " << inquiry.kind << ", " << inquiry.prompt_tokens << " tokens, "
                    << request.budget.count() / 1000 << " ms" << (inquiry.repeat ? ", a repeat" : "");
   put(request);
@@ -81,6 +82,19 @@
   return *(requests_[id] = std::move(entry));
 }
 
+// Guards what is held at nodes: killed with an attempt out, a process leaves a state behind that nobody will let go.
+// Its client hears while there is time to answer it, and to have the state let go.
+void Conductor::end_waits(Micros at) {
+  waits_end_ = at;
+  for (const auto& [id, entry] : requests_) {
+    entry->deadline = std::min(entry->deadline, at);
+    if (!entry->out || entry->out->started || entry->out->timer.first <= at) continue;
+    timers_.drop(entry->out->timer);
+    entry->out->timer = timers_.add(at, [this, out = entry->out.get()] { timed_out(*out); });
+  }
+  if (on_change) on_change();
+}
+
 void Conductor::gone(RequestId id) {
   Entry* entry = find(id);
   if (!entry || !entry->client) return;
