Tell a new process what the old one heard of the nodes, hear adopted streams

Need: a writer's load report comes with the end of a stream, some ten seconds after it began. A process that has just taken over had no stream of its own to end, and the module never heard of those it adopted, so their reports were dropped: for ten seconds every writer looked as empty as its own few requests there made it, nobody was refused for load, and what near readers sent went to one writer.

Change: the end of an adopted stream reaches the module as the outcome of a probe does (load, and whether it failed). At the hand-over the old process sends, on the socket that streams are given over, the last report of each ready node that is 3 s old at the most, and which nodes it avoids; the new one believes them as it would a probe.

Tests: the choice of a writer with and without such news, old or wrong news, what is told after a drain or a restart, and 120 nodes over the socket.

--- a/src/cli/program.cpp
+++ b/src/cli/program.cpp
@@ -128,7 +128,8 @@
     look();
     if (platform.socket)
       handover_ = std::make_unique<ops::Handover>(loop_, processes_.file(".streams"),
-                                                  [this](const Passing& stream) { front_.adopt(stream); });
+                                                  [this](const Passing& stream) { front_.adopt(stream); },
+                                                  [this](const std::vector<Heard>& heard) { conductor_.believe(heard); });
     processes_.serves(true);
   }
   ~Parts() { conductor_.on_change = nullptr; }  // the timer goes before the conductor does
@@ -179,6 +180,7 @@
     if (grpc_) grpc_->server.stop_accepting();
     agent_.reset();
     conductor_.end_waits(clock_.now() + last_wait());
+    ops::Handover::tell(processes_.file(".streams"), conductor_.heard());
     pass_streams();
   }
   Micros last_wait() const {
--- a/src/core/conductor/attempts.cpp
+++ b/src/core/conductor/attempts.cpp
@@ -64,6 +64,11 @@
     logging::info() << "node " << attempt.node << " can't use " << entry.prompt.id << ", " << result.detail;
   if (result.outcome == Outcome::error || result.outcome == Outcome::reset)
     logging::info() << "node " << attempt.node << ": attempt " << word(result.outcome) << ", " << result.detail;
+  if (const auto node = known_.find(attempt.host); node != known_.end() && !result.load.empty()) {
+    node->second.load = result.load;
+    node->second.load_at = clock_.now();
+  }
+  const bool tells = entry.adopted && result.outcome != Outcome::cancelled;
   const bool never_ran = result.outcome == Outcome::full || result.outcome == Outcome::connect_failed ||
                          result.outcome == Outcome::moot;
   if (result.outcome == Outcome::read) entry.held_at = attempt.host;
@@ -82,7 +87,11 @@
   if (client && result.outcome == Outcome::ok) client->finish();
   else if (client && result.unfit) client->fail(Failure::unfit);
   else if (client && finished) client->cut();
+  // The module never heard of a stream that another process began. What its end tells of the node counts all the same:
+  // a process that has just started hears of a writer's load by nothing else until its own first streams end.
+  HealthResult health{completed.host, completed.outcome, Micros(0), tells ? completed.load : std::vector<float>{}};
   put(std::move(completed));
+  if (tells) put(std::move(health));
 }
 
 // What an attempt that ended says of its node, for this conductor's peers.
--- a/src/core/conductor/parts.h
+++ b/src/core/conductor/parts.h
@@ -45,6 +45,7 @@
   // A node where a read was cut. It may have ended well in that very moment and hold a state that nobody
   // told of, so it is asked to let go as soon as no attempt is out.
   std::optional<HostId> leftover;
+  bool adopted = false;  // begun by another process
 };
 
 struct Conductor::Released {
--- a/src/core/conductor/streams.cpp
+++ b/src/core/conductor/streams.cpp
@@ -34,6 +34,7 @@
   Entry& entry = enter({stream.id, {}, {}}, client, stream.kind);
   id = entry.id;
   entry.attempts = static_cast<std::uint16_t>(stream.attempt + 1);
+  entry.adopted = true;
   entry.out = std::make_unique<Try>(*this, id, stream.attempt, node, Role::write, clock_.now());
   entry.out->started = true;
   entry.out->call = nodes_.adopt(node, stream.call, *entry.out);
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -75,6 +75,14 @@
   Passed client, call;
 };
 
+// What one process of the conductor believes of a node, for another that has just started.
+struct Heard {
+  std::string node;
+  std::string load;  // its last report, as the node worded it
+  Micros age{};      // of that report
+  bool avoided = false;  // left out by choice, since attempts fail there
+};
+
 // Where the answer to one request goes. Exactly one of finish, refuse, fail and cut ends it, and none of
 // them is called after Conductor::gone. None of them may call the Conductor's gone from within.
 class Client {
@@ -96,6 +104,8 @@
   Phase listed = Phase::ready;
   Micros listed_start{};
   Micros lost{};  // the last loss of kept text that peers told of; 0: none
+  std::string load;  // the last report that came along, and when
+  Micros load_at{};
   bool ready() const { return entry.phase == Phase::ready; }
 };
 
--- a/src/ops/handover.cpp
+++ b/src/ops/handover.cpp
@@ -10,6 +10,7 @@
 #include <cerrno>
 #include <cstring>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 #include "base/log.h"
 
@@ -17,6 +18,7 @@
 namespace {
 
 constexpr std::size_t most_text = 4096;
+const std::string heard_begins = R"({"heard":[)", heard_ends = "]}";
 using Descriptors = std::array<int, 2>;  // the client's and the node's
 
 bool address_of(const std::string& path, sockaddr_un& address) {
@@ -39,9 +41,37 @@
   alignas(cmsghdr) char control[CMSG_SPACE(sizeof(Descriptors))]{};
 };
 
+std::string text_of(const nlohmann::json& all) {
+  return all.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+bool post(const std::string& path, std::string text, const Descriptors* both) {
+  sockaddr_un address{};
+  if (text.size() > most_text || !address_of(path, address)) return false;
+  const int fd = socket(AF_UNIX, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0) return false;
+  Message message(text.data(), text.size());
+  message.header.msg_name = &address;
+  message.header.msg_namelen = sizeof address;
+  if (both) {
+    cmsghdr* control = CMSG_FIRSTHDR(&message.header);
+    control->cmsg_level = SOL_SOCKET;
+    control->cmsg_type = SCM_RIGHTS;
+    control->cmsg_len = CMSG_LEN(sizeof(Descriptors));
+    std::memcpy(CMSG_DATA(control), both->data(), sizeof *both);
+  } else {
+    message.header.msg_control = nullptr;
+    message.header.msg_controllen = 0;
+  }
+  const bool sent = sendmsg(fd, &message.header, MSG_NOSIGNAL) == static_cast<ssize_t>(text.size());
+  close(fd);
+  return sent;
+}
+
 }  // namespace
 
-Handover::Handover(net::Loop& loop, const std::string& path, Taken taken) : taken_(std::move(taken)) {
+Handover::Handover(net::Loop& loop, const std::string& path, Taken taken, Told told)
+    : taken_(std::move(taken)), told_(std::move(told)) {
   sockaddr_un address{};
   fd_ = socket(AF_UNIX, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   unlink(path.c_str());
@@ -63,27 +93,26 @@
 }
 
 bool Handover::send(const std::string& path, const Passing& stream) {
-  sockaddr_un address{};
-  if (!address_of(path, address)) return false;
-  const int fd = socket(AF_UNIX, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  if (fd < 0) return false;
   const nlohmann::json all{{"id", stream.id},          {"kind", stream.kind},
                            {"node", stream.node},      {"attempt", stream.attempt},
                            {"client", stream.client.closes}, {"call", stream.call.closes}};
-  std::string text = all.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-  Message message(text.data(), text.size());
-  message.header.msg_name = &address;
-  message.header.msg_namelen = sizeof address;
-  cmsghdr* control = CMSG_FIRSTHDR(&message.header);
-  control->cmsg_level = SOL_SOCKET;
-  control->cmsg_type = SCM_RIGHTS;
-  control->cmsg_len = CMSG_LEN(sizeof(Descriptors));
   const Descriptors both{stream.client.fd, stream.call.fd};
-  std::memcpy(CMSG_DATA(control), both.data(), sizeof both);
-  const bool sent = text.size() <= most_text &&
-                    sendmsg(fd, &message.header, MSG_NOSIGNAL) == static_cast<ssize_t>(text.size());
-  close(fd);
-  return sent;
+  return post(path, text_of(all), &both);
+}
+
+void Handover::tell(const std::string& path, const std::vector<Heard>& heard) {
+  std::string list;
+  const auto flush = [&] {
+    if (!list.empty()) post(path, heard_begins + list + heard_ends, nullptr);
+    list.clear();
+  };
+  for (const auto& one : heard) {
+    const std::string text =
+        text_of({{"node", one.node}, {"load", one.load}, {"age_us", one.age.count()}, {"avoided", one.avoided}});
+    if (heard_begins.size() + list.size() + 1 + text.size() + heard_ends.size() > most_text) flush();
+    list += (list.empty() ? "" : ",") + text;
+  }
+  flush();
 }
 
 void Handover::receive() {
@@ -98,6 +127,14 @@
     std::memcpy(both.data(), CMSG_DATA(control), std::min(control->cmsg_len - CMSG_LEN(0), sizeof both));
   try {
     const auto all = nlohmann::json::parse(std::string_view(text, static_cast<std::size_t>(size)));
+    if (const auto heard = all.find("heard"); heard != all.end()) {
+      std::vector<Heard> list;
+      for (const auto& one : *heard)
+        list.push_back({one.at("node"), one.at("load"), Micros(one.at("age_us").get<Micros::rep>()), one.at("avoided")});
+      for (int& fd : both)  // such a message brings none; whatever came along is closed, once
+        if (fd >= 0) close(std::exchange(fd, -1));
+      return told_(list);
+    }
     if (both[1] < 0) throw std::runtime_error("it brings no connections");
     Passing stream{all.at("id"), all.at("kind"), all.at("node"), all.at("attempt"), {}, {}};
     stream.client = {both[0], all.at("client").get<bool>()};
--- a/src/ops/handover.h
+++ b/src/ops/handover.h
@@ -1,8 +1,9 @@
-// Streams on their way from a process that ends to the one that has taken over.
+// Streams, and what is known of the nodes, on their way from a process that ends to the one that has taken over.
 #pragma once
 
 #include <functional>
 #include <string>
+#include <vector>
 
 #include "core/types.h"
 #include "net/loop.h"
@@ -13,18 +14,22 @@
 class Handover {
  public:
   using Taken = std::function<void(const Passing&)>;  // the descriptors are the receiver's from then on
-  Handover(net::Loop& loop, const std::string& path, Taken taken);
+  using Told = std::function<void(const std::vector<Heard>&)>;
+  Handover(net::Loop& loop, const std::string& path, Taken taken, Told told);
   ~Handover();
   Handover(const Handover&) = delete;
   Handover& operator=(const Handover&) = delete;
 
   // Sends a stream to whoever receives at `path`; false: nobody does, or not now. Its descriptors stay open here.
   static bool send(const std::string& path, const Passing& stream);
+  // Tells what is known of the nodes, in as many messages as it takes; what can't be sent is left out.
+  static void tell(const std::string& path, const std::vector<Heard>& heard);
 
  private:
   void receive();
   int fd_ = -1;
   Taken taken_;
+  Told told_;
   net::EventPtr event_;
 };
 
--- a/tests/net/core_bed.h
+++ b/tests/net/core_bed.h
@@ -40,6 +40,10 @@
     return std::make_unique<NoteCall>([] {});
   }
   std::unique_ptr<Call> probe(const Node&, std::function<void(const Result&)>) override { return nullptr; }
+  std::unique_ptr<Call> adopt(const Node& node, const Passed&, Attempt& attempt) override {
+    begun.push_back({node.id, &attempt, true});
+    return std::make_unique<NoteCall>([this, i = begun.size() - 1] { begun[i].open = false; });
+  }
   void hang_up(const Node&) override {}
   void limit(const Limits&) override {}
 };
--- a/tests/net/core_test.cpp
+++ b/tests/net/core_test.cpp
@@ -115,6 +115,71 @@
   assert(bed.client.seen == "a|failed" && bed.nodes.begun.size() == 2);
 }
 
+// The writer that a process which knows nothing else takes for its first request, once `told` has told it something.
+std::string first_writer(const std::function<void(Bed&, TestClient&)>& told) {
+  Settings s = settings();
+  s.report_x0_is_memory = true;
+  Bed bed({"r", "w", "w2"}, s);
+  TestClient other;
+  told(bed, other);
+  bed.take();
+  bed.done(Outcome::read);
+  return bed.core.name_of(bed.nodes.begun.back().host);
+}
+
+// A new process hears of a writer's load by the ends of streams alone, and all that run were begun by the old one:
+// what those ends tell counts, and so does what the old process tells of its last reports.
+void learns_from_the_other_process() {
+  const std::string usual = first_writer([](Bed&, TestClient&) {});
+  const auto adopted = [&](Result end) {
+    return first_writer([&](Bed& bed, TestClient& other) {
+      RequestId id = 0;
+      TestClient light;
+      assert(bed.core.adopt({"light", "k", usual == "w" ? "w2" : "w", 1, {}, {}}, light, id));
+      bed.nodes.begun.back().attempt->done({Outcome::ok, 0, "active=10,x0=0.2", {}});
+      assert(bed.core.adopt({"old", "k", usual, 1, {}, {}}, other, id));
+      bed.nodes.begun.back().attempt->done(end);
+      assert(light.answers == 1 && other.answers == 1);
+    });
+  };
+  assert(adopted({Outcome::ok, 0, "active=40,x0=0.8", {}}) != usual);
+  assert(adopted({Outcome::ok, 0, "active=4,x0=0.01", {}}) == usual);
+  assert(adopted({Outcome::ok, 0, "nonsense", {}}) == usual);
+  assert(adopted({Outcome::reset, 0, {}, {}}) != usual);
+  const auto told = [&](Heard heard) {
+    const Heard light{usual == "w" ? "w2" : "w", "active=10,x0=0.2", 100ms, false};
+    return first_writer([&](Bed& bed, TestClient&) { bed.core.believe({light, heard}); });
+  };
+  assert(told({usual, "active=40,x0=0.8", 400ms, false}) != usual);
+  assert(told({usual, {}, 0ms, true}) != usual);
+  for (const Heard& useless : {Heard{usual, "active=40,x0=0.8", 4s, false}, Heard{usual, "active=40,x0=0.8", -400ms, false},
+                               Heard{"unlisted", "active=40,x0=0.8", 0ms, true}})
+    assert(told(useless) == usual);
+}
+
+void tells_the_other_process() {
+  Bed bed;
+  bed.take();
+  bed.done(Outcome::read);
+  assert(bed.core.heard().empty());
+  bed.nodes.begun.back().attempt->event("a");
+  bed.nodes.begun.back().attempt->done({Outcome::ok, 0, "active=2,x0=0.3", {}});
+  bed.pass(1s);
+  const auto heard = bed.core.heard();
+  assert(heard.size() == 1 && heard[0].node == "w" && heard[0].load == "active=2,x0=0.3" && heard[0].age == 1s);
+  // Neither an old report nor one of a node that is out, or has started anew since.
+  bed.core.update(ListKind::delta, 2, {Bed::node("w", Phase::draining)});
+  assert(bed.core.heard().empty());
+  auto anew = Bed::node("w");
+  anew.started = bed.clock.at;
+  bed.core.update(ListKind::delta, 3, {anew});
+  assert(bed.core.heard().empty());
+  bed.core.update(ListKind::delta, 4, {Bed::node("w")});
+  assert(bed.core.heard().size() == 1);
+  bed.pass(3s);
+  assert(bed.core.heard().empty());
+}
+
 // Nodes that have gone are forgotten, though an attempt is still out at one of them.
 void nodes_come_and_go() {
   Bed bed;
@@ -298,6 +363,8 @@
   release_unheard();
   release_past_lost_nodes();
   waits_end();
+  learns_from_the_other_process();
+  tells_the_other_process();
   nodes_come_and_go();
   cut_read();
   deadline();
--- a/tests/net/scenario.cpp
+++ b/tests/net/scenario.cpp
@@ -578,7 +578,8 @@
   ops::Management management_{loop_, "127.0.0.1:0", *core_, status_, [] { return ops::Reloads{}; }};
   static string handover_path() { return "scenario." + std::to_string(getpid()) + ".streams"; }
   std::unique_ptr<http::Front> front_;
-  ops::Handover handover_{loop_, handover_path(), [this](const Passing& stream) { front_->adopt(stream); }};
+  ops::Handover handover_{loop_, handover_path(), [this](const Passing& stream) { front_->adopt(stream); },
+                           [this](const std::vector<Heard>& heard) { core_->believe(heard); }};
   std::unique_ptr<grpc::Front> grpc_front_;
   std::unique_ptr<grpc::Server> grpc_server_;
   std::unique_ptr<discovery::Watch> watch_;
--- a/tests/net/tools_test.cpp
+++ b/tests/net/tools_test.cpp
@@ -20,6 +20,7 @@
 #include "grpc/node_client.h"
 #include "http/node_client.h"
 #include "ops/agent_check.h"
+#include "ops/handover.h"
 #include "ops/health_service.h"
 #include "proto/health.pb.h"
 #include "proto/lemonroute.pb.h"
@@ -633,6 +634,32 @@
   assert(watch.seen == "1212" && watch.code == "14" && unknown.seen == "3");
 }
 
+// What is known of many nodes takes several messages, and arrives as it was; a wrong message says so and loses nothing.
+void told_of_nodes() {
+  const string path = (std::filesystem::temp_directory_path() / ("told-" + std::to_string(getpid()))).string();
+  net::Loop loop;
+  std::vector<Heard> got;
+  std::size_t messages = 0, streams = 0;
+  ops::Handover end(loop, path, [&](const Passing&) { ++streams; }, [&](const std::vector<Heard>& heard) {
+    ++messages;
+    got.insert(got.end(), heard.begin(), heard.end());
+  });
+  std::vector<Heard> sent;
+  for (int i = 0; i < 120; ++i)
+    sent.push_back({"s-" + std::to_string(i), "inflight=7,queue=2,x0=0.61,x1=" + string(i % 7, '1'), Micros(i), i % 5 == 0});
+  ops::Handover::tell(path, sent);
+  while (got.size() < sent.size()) loop.run_once();
+  for (std::size_t i = 0; i < sent.size(); ++i)
+    assert(got[i].node == sent[i].node && got[i].load == sent[i].load && got[i].age == sent[i].age &&
+           got[i].avoided == sent[i].avoided);
+  assert(messages > 1 && messages <= 5 && streams == 0);
+  ops::Handover::tell(path + "-nobody", sent);  // is lost, and that is all
+  ops::Handover::tell(path, {{string(8000, 'x'), {}, {}, true}, {"after", {}, {}, true}});
+  while (got.size() == sent.size()) loop.run_once();
+  assert(got.size() == sent.size() + 1 && got.back().node == "after");
+  std::remove(path.c_str());
+}
+
 }  // namespace
 }  // namespace lemonroute
 
@@ -651,6 +678,7 @@
   old_report<GrpcStreamer, lemonroute::grpc::NodeClient, lemonroute::grpc::Session::Limits>();
   agent_check();
   health();
+  told_of_nodes();
   std::remove("tools_test.toml");
   std::cout << "tools: all checks passed\n";
 }
