--- a/src/peers/membership/facts.cpp
+++ b/src/peers/membership/facts.cpp
@@ -7,12 +7,12 @@
 namespace lemonroute::peers::membership {
 
 void Membership::take(const Fact& said, const Fact& sender, bool only_good) {
-  if (only_good && said.standing != Standing::alive) return;
   Entry* entry = table_.find(said.name);
   if (said.name == own_.own().name) {
     if (process(said) < process(own_.own())) return older(*entry, said, said.name == sender.name);
-    return about_me(said);
+    return about_me(said);  // from the gone too: two who hold each other gone must get out of that
   }
+  if (only_good && said.standing != Standing::alive) return;
   apply(judge(entry, said, unix_now()), entry, said, sender);
 }
 
@@ -69,8 +69,9 @@
       break;
     case OwnName::Then::superseded:
       ++counters_.superseded;
-      notice("a newer process of the name " + said.name + " is at " + said.address + ", this one is at " +
-             own_.own().address + ": the newer start holds the name");
+      if (said.address != own_.own().address)
+        notice("a newer process of the name " + said.name + " is at " + said.address + ", this one is at " +
+               own_.own().address + ": the newer start holds the name");
       break;
     case OwnName::Then::reclaimed:
       ++counters_.reclaimed;
@@ -159,6 +160,18 @@
          ", whose newer start holds the name, and " + said.address);
 }
 
+// Guards against giving up one who never heard that it is suspected: the news of that may all have gone into a cut that
+// has healed since, and who is only suspected makes no difference between digests.
+void Membership::last_calls() {
+  while (last_calls_ < limits::last_calls) {
+    Entry* entry = table_.uncalled(now_ + options_.period * limits::last_call);
+    if (!entry) return;
+    ++last_calls_;
+    entry->suspicion->called = true;
+    send(entry->fact.address, wire::Ping{0, entry->fact.name, table_.digest()}, entry);
+  }
+}
+
 void Membership::give_up(Micros now) {
   while (Entry* entry = table_.expired(now)) {
     ++counters_.gone;
--- a/src/peers/membership/membership.h
+++ b/src/peers/membership/membership.h
@@ -76,6 +76,7 @@
   void confirm(Entry& entry, std::string_view by);
   void hearsay(Entry& entry, const Fact& said, const Fact& sender);
   void older(Entry& entry, const Fact& said, bool first_hand);
+  void last_calls();
   void give_up(Micros now);
   void self_changed();
   // sending.cpp
@@ -105,7 +106,7 @@
   Present present_;
   std::deque<std::string> again_;
   std::uint32_t sequence_;
-  int syncs_answered_ = 0, asides_ = 0;
+  int syncs_answered_ = 0, asides_ = 0, last_calls_ = 0;
   bool synced_ = false;
   std::size_t parcels_ = 0, next_seed_ = 0;
   std::vector<Datagram> out_;
--- a/src/peers/membership/suspicion/suspicion.h
+++ b/src/peers/membership/suspicion/suspicion.h
@@ -25,6 +25,7 @@
   bool confirm(std::string_view by);  // true: it is another one's, and counts
   void shift(Micros late);            // this conductor slept: the member had no chance to be heard
   Micros deadline() const;
+  bool called = false;  // it was told once more, shortly before the deadline
 
  private:
   Micros started_{}, least_{}, most_{};
--- a/src/peers/membership/table.cpp
+++ b/src/peers/membership/table.cpp
@@ -119,6 +119,15 @@
   return find(deadlines_.begin()->second);
 }
 
+Entry* Table::uncalled(Micros before) {
+  for (const auto& [at, name] : deadlines_) {
+    if (at > before) return nullptr;
+    Entry* entry = find(name);
+    if (!entry->suspicion->called) return entry;
+  }
+  return nullptr;
+}
+
 void Table::shift_suspicions(Micros late) {
   std::set<std::pair<Micros, std::string>> shifted;
   for (const auto& [at, name] : deadlines_) {
--- a/src/peers/membership/table.h
+++ b/src/peers/membership/table.h
@@ -43,6 +43,7 @@
   void suspect(Entry& entry, Suspicion suspicion);
   void rearm(Entry& entry, Micros before);
   Entry* expired(Micros now);
+  Entry* uncalled(Micros before);  // one whose deadline is near, and who was not told so
   void shift_suspicions(Micros late);
 
  private:
--- a/src/peers/membership/ticks.cpp
+++ b/src/peers/membership/ticks.cpp
@@ -47,6 +47,7 @@
   if (probe_ && probe_->ask_at <= tick_ && probe_->asked == 0) ask_helpers();
   if (probe_ && probe_->judge_at <= tick_) judge_probe();
   while (auto late = helping_.late(tick_)) send(late->asker_address, wire::Nack{late->theirs, late->of});
+  last_calls();
   give_up(now_);
   if (tick_ >= period_ends_) begin_period();
   if (!probe_) probe();
@@ -58,7 +59,7 @@
   period_ends_ = tick_ + limits::ticks;
   ++periods_;
   synced_ = false;
-  syncs_answered_ = asides_ = 0;
+  syncs_answered_ = asides_ = last_calls_ = 0;
   parcels_ = 0;
   if (own_.check(now_) == OwnName::Then::reclaimed) {
     ++counters_.reclaimed;
