Peers on a thread of their own: a UDP service, guides to the serving loop, notes back

Need: membership is free of I/O, and the serving loop may not wait for it. The service drives an Agent on one loop and one thread; guides and the text for operators go to the serving loop, what it sees of nodes goes back, each through a bounded lock-free ring with a wake; what the serving loop is done with is freed on the peers' thread.

--- /dev/null
+++ b/src/guide/fleet.h
@@ -0,0 +1,82 @@
+// What puts the peers' service, its riders and the serving loop together: guides come to the one side, notes go to the
+// other, each through a bounded ring. Made and met on the serving loop.
+#pragma once
+
+#include <atomic>
+#include <boost/lockfree/spsc_queue.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "guide/fleet_guide.h"
+#include "guide/notes.h"
+#include "guide/siblings.h"
+#include "peers/service.h"
+#include "peers/wake.h"
+
+namespace lemonroute::guide {
+
+// A rider with what it gives the serving loop and wants to hear from it.
+struct Guest {
+  std::unique_ptr<peers::Rider> rider;
+  Witness* witness = nullptr;                            // mostly the rider itself; null: hears nothing
+  std::function<std::shared_ptr<const Guide>()> guide;   // its newest; another pointer where it has changed
+};
+
+class Fleet final : peers::Service::Desk {
+ public:
+  struct Options {
+    peers::Service::Options service;
+    Siblings::Limits siblings;
+  };
+  // `guided` is called on the loop with each newer guide, within reason: at most once in `least_between`.
+  using Guided = std::function<void(std::shared_ptr<const Guide>)>;
+  Fleet(net::Loop& loop, const Clock& clock, Options options, std::vector<Guest> guests, Guided guided);
+  ~Fleet();
+
+  static constexpr std::chrono::milliseconds least_between{10};
+
+  Witness& witness() { return notes_; }
+  // What is known, as JSON; a moment old. Null until the first was made.
+  std::shared_ptr<const std::string> text() const { return text_; }
+  const std::string& address() const { return service_->address(); }
+
+ private:
+  struct Told {
+    std::shared_ptr<const Guide> guide;
+    std::shared_ptr<const std::string> text;
+  };
+
+  // On the thread of the peers.
+  void woken(Micros now) override;
+  void round(Micros now, const peers::Service& service) override;
+  Micros next_due() const override { return next_; }
+  bool renew_guide(Micros now, const peers::Service& service);
+  bool renew_text(Micros now, const peers::Service& service);
+
+  // On the serving loop.
+  void take();
+
+  Guided guided_;
+  std::vector<Guest> guests_;
+  std::vector<Witness*> witnesses_;
+  Notes notes_;
+  boost::lockfree::spsc_queue<Told> told_;
+  peers::Wake take_;
+  std::shared_ptr<const Guide> guide_;
+  std::shared_ptr<const std::string> text_;
+
+  // The thread's own.
+  Siblings siblings_;
+  std::uint32_t count_ = 0;
+  FleetGuide::Parts parts_;
+  Told newest_;
+  std::vector<std::shared_ptr<const void>> given_;  // freed here and not on the serving loop, once it is done with them
+  bool waiting_ = false;                            // the ring was full: the newest is still to be told
+  Micros next_{}, next_guide_{}, next_text_{};
+
+  std::unique_ptr<peers::Service> service_;  // ends the thread first
+};
+
+}  // namespace lemonroute::guide
--- /dev/null
+++ b/src/guide/fleet_guide.h
@@ -0,0 +1,27 @@
+// One guide out of several: how many conductors there are, and what each rider has to say of nodes and prompts.
+#pragma once
+
+#include <memory>
+#include <vector>
+
+#include "core/guide.h"
+
+namespace lemonroute::guide {
+
+class FleetGuide final : public Guide {
+ public:
+  using Parts = std::vector<std::shared_ptr<const Guide>>;
+  FleetGuide(std::uint32_t siblings, Parts parts) : siblings_(siblings), parts_(std::move(parts)) {}
+
+  std::uint32_t siblings() const override { return siblings_; }
+  // Away where one of them says so, started when the last of them says, until the first of them ends.
+  Laid lay(const Node& node) const override;
+  std::vector<KeptAt> kept(Key session, Key shared) const override;  // of all of them
+  Micros lost(const Node& node) const override;                      // the last of them
+
+ private:
+  std::uint32_t siblings_;
+  Parts parts_;
+};
+
+}  // namespace lemonroute::guide
