--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -45,7 +45,11 @@
   if (!settings.installation.stated) throw config::ConfigError("BALANCER_CONFIG is not set, and no --config file states classes, settings and nodes");
   config::check_alone(settings, path, faults);
   auto platform = settings.installation.platform;
-  if (const char* listen = variable("BALANCER_LISTEN"); listen && !again) platform.listen = listen;
+  if (!again)
+    for (auto [name, field] : {std::pair{"BALANCER_NAME", &platform.name},
+                               std::pair{"BALANCER_LISTEN", &platform.listen},
+                               std::pair{"BALANCER_MGMT", &platform.management}})
+      if (const char* value = variable(name)) *field = value;
   return platform;
 }
 
@@ -73,6 +77,7 @@
   };
   try {
     const auto platform = load(path, settings, variable, false, faults);
+    if (settings.peers) settings.peers = config::peers_of(*settings.peers, platform.name, path, faults);
     if (!faults.empty()) return report(faults, err);
     return serve(platform, settings, reload);
   } catch (const std::exception& error) {
@@ -108,6 +113,17 @@
   return write_new(path, text, out, err);
 }
 
+int key_command(const Arguments& arguments, std::ostream& out, std::ostream& err) {
+  Usage usage{"config key FILE", "Writes a new key for [peers] key_files, to a file that only its owner may read."};
+  usage.options.add_options()("file", po::value<std::string>()->required(), "the file to write");
+  usage.places = {"file"};
+  const auto values = parse(arguments, usage);
+  const std::string path = known(values, "file");
+  const std::string why = peers::seal::write_new_key(path);
+  (why.empty() ? out << path << ": written\n" : err << path << ": " << why << '\n');
+  return why.empty() ? fine : faulty;
+}
+
 int check_command(const Arguments& arguments, std::ostream& out, std::ostream& err) {
   Usage usage{"config check FILE [--platform FILE]",
               "Names each fault with its file, line and key; exit code 1 if there is one. Without a platform's file, what\n"
@@ -149,6 +165,8 @@
          "      writes a commented operator's file\n"
          "  lemonroute config check FILE [--platform FILE]\n"
          "      names each fault with its file, line and key; exit code 1 if there is one\n"
+         "  lemonroute config key FILE\n"
+         "      writes a new key that the conductors of a fleet share\n"
          "  lemonroute expect init|check|compare|audit ...\n"
          "      what should be decided, written beside the configuration and checked without traffic\n"
          "  lemonroute call ADDRESS [SERVICE/METHOD] [--data JSON] [--deadline TIME] ...\n"
@@ -186,7 +204,7 @@
 }
 
 int run(const Arguments& arguments, std::ostream& out, std::ostream& err) {
-  const std::map<std::string, Command> config{{"init", init_command}, {"check", check_command}};
+  const std::map<std::string, Command> config{{"init", init_command}, {"check", check_command}, {"key", key_command}};
   const std::map<std::string, Command> expect{{"init", expect_init_command},
                                               {"check", expect_check_command},
                                               {"compare", expect_compare_command},
--- a/src/cli/program.cpp
+++ b/src/cli/program.cpp
@@ -9,6 +9,7 @@
 #include "grpc/front.h"
 #include "grpc/node_client.h"
 #include "grpc/reflection.h"
+#include "guide/fleet.h"
 #include "http/front.h"
 #include "http/node_client.h"
 #include "ops/agent_check.h"
@@ -74,6 +75,25 @@
       if (candidate.left_out) line << "; " << conductor.name_of(candidate.host) << ' ' << candidate.left_out;
 }
 
+guide::Fleet::Options fleet_options(const config::Platform& platform, const config::PeersFile& peers, Micros now) {
+  guide::Fleet::Options options;
+  auto& service = options.service;
+  service.agent.name = platform.name;
+  service.agent.site = peers.site;
+  service.agent.address = peers.advertise;
+  service.agent.start = static_cast<std::uint64_t>(now.count());
+  service.agent.seeds = peers.seeds;
+  service.agent.period = peers.period;
+  service.listen = peers.listen;
+  service.beside_another = platform.socket.has_value();
+  service.keys = peers.keys;
+  service.via = peers.via;
+  options.siblings.stated = platform.settings.siblings;
+  options.siblings.least = static_cast<std::uint32_t>(peers.siblings_least);
+  options.siblings.most = static_cast<std::uint32_t>(peers.siblings_most);
+  return options;
+}
+
 }  // namespace
 
 struct Program::Parts {
@@ -86,6 +106,7 @@
       : platform_(platform),
         read_again_(std::move(again)),
         loop_(loop),
+        clock_(settings.peers ? settings.peers->clock_offset : Micros(0)),
         processes_(std::filesystem::temp_directory_path(), platform.name, platform.listen),
         nodes_(make_nodes(loop_, platform, settings.grpc_nodes)),
         conductor_(platform.settings, platform.zones, platform.kinds, platform.seed, clock_, *nodes_),
@@ -109,11 +130,20 @@
                                                  platform.socket.has_value());
       logging::info() << "agent-check on " << settings.agent_check_listen;
     }
+    if (settings.peers) {
+      fleet_ = std::make_unique<guide::Fleet>(loop_, clock_, fleet_options(platform, *settings.peers, clock_.now()),
+                                              std::vector<guide::Guest>{},
+                                              [this](auto newer) { conductor_.guide(std::move(newer)); });
+      conductor_.witness(&fleet_->witness());
+      logging::info() << "peers on " << fleet_->address();
+    }
     const std::string& management =
         settings.management_listen.empty() ? platform.management : settings.management_listen;
     if (!management.empty()) {
+      ops::Management::Fleet fleet;
+      if (fleet_) fleet = [this] { return fleet_->text(); };
       management_ = std::make_unique<ops::Management>(loop_, management, conductor_, status_,
-                                                      [this] { return reloads_; });
+                                                      [this] { return reloads_; }, std::move(fleet));
       logging::info() << "management on " << management;
     }
     conductor_.on_change = [this] { changed(); };
@@ -132,7 +162,10 @@
                                                   [this](const std::vector<Heard>& heard) { conductor_.believe(heard); });
     processes_.serves(true);
   }
-  ~Parts() { conductor_.on_change = nullptr; }  // the timer goes before the conductor does
+  ~Parts() {
+    conductor_.on_change = nullptr;  // the timer goes before the conductor does, and so does the witness
+    conductor_.witness(nullptr);
+  }
   Parts(const Parts&) = delete;
   Parts& operator=(const Parts&) = delete;
 
@@ -253,8 +286,8 @@
   config::Platform platform_;
   const Reload read_again_;
   net::Loop& loop_;
+  const SystemClock clock_;
   ops::Processes processes_;
-  SystemClock clock_;
   std::unique_ptr<Nodes> nodes_;
   Conductor conductor_;
   ops::Status status_;
@@ -264,6 +297,7 @@
   net::Signal term_, interrupt_, hang_up_;
   std::unique_ptr<Grpc> grpc_;
   std::unique_ptr<ops::AgentCheck> agent_;
+  std::unique_ptr<guide::Fleet> fleet_;  // none where peers are off
   ops::Reloads reloads_;
   std::unique_ptr<ops::Handover> handover_;
   std::unique_ptr<ops::Management> management_;
--- a/src/config/fleet.h
+++ b/src/config/fleet.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "config/section.h"
+#include "peers/seal/key.h"
 
 namespace lemonroute::config {
 
@@ -15,8 +16,14 @@
   std::string listen;                    // where datagrams are taken
   std::string advertise;                 // where others send to; empty: as listen
   std::string site;                      // the zone in which this conductor stands
+  // What holds instead for the conductor of that name, [peers.at.NAME], so that one file serves a whole fleet.
+  struct At {
+    std::string listen, advertise, site;
+  };
+  std::map<std::string, At> at;
   std::vector<std::string> seeds;
-  std::vector<std::string> key_files;    // the first one seals, each one opens
+  std::vector<std::string> key_files;    // the first one seals, each one opens; beside the file, unless absolute
+  std::vector<peers::seal::Key> keys;    // what they hold
   Micros period = std::chrono::seconds(1);
   std::map<std::string, std::string> via;  // a peer's name: the address by which it is reached instead of its own
   std::int64_t siblings_least = 1, siblings_most = 100000;  // bounds of what the live view may make of siblings
@@ -33,5 +40,7 @@
 
 std::optional<PeersFile> read_peers(Section& file);  // none: off
 Regions read_regions(Section& file);
+// What holds for the conductor of that name, once it is known: `at` is empty then.
+PeersFile peers_of(const PeersFile& peers, const std::string& name, const std::string& path, std::vector<Fault>& faults);
 
 }  // namespace lemonroute::config
--- a/src/config/installation.cpp
+++ b/src/config/installation.cpp
@@ -118,7 +118,7 @@
 Installation read_installation(Section& file) {
   Installation result;
   Platform& to = result.platform;
-  to.name = "lemonroute";
+  to.name = Installation::unnamed;
   // Where a file says nothing, these hold.
   Settings& s = to.settings;
   s.max_attempts = 4;
--- a/src/config/installation.h
+++ b/src/config/installation.h
@@ -11,6 +11,7 @@
 namespace lemonroute::config {
 
 struct Installation {
+  static constexpr const char* unnamed = "lemonroute";  // what a conductor is called where nothing names it
   bool stated = false;  // whether the file speaks of any of this
   Platform platform;    // as the platform's file would have it; `known` holds the fixed nodes
   bool fixed = false;   // the nodes are those of the file, and no discovery is asked
--- a/src/config/operator.cpp
+++ b/src/config/operator.cpp
@@ -61,8 +61,8 @@
     for (const auto& [key, take] : keys)
       if (const auto dot = key.find('.'); dot != std::string::npos) sections.insert(key.substr(0, dot));
 
-    // Read elsewhere: config/installation.cpp.
-    const std::set<std::string> installation{"serve", "settings", "kinds", "classes", "fleet"};
+    // Read elsewhere: config/installation.cpp, config/fleet.cpp.
+    const std::set<std::string> elsewhere{"serve", "settings", "kinds", "classes", "fleet", "peers", "regions"};
     const auto one = [&](const std::string& key, const toml::node& node) {
       const auto found = keys.find(key);
       if (found != keys.end()) found->second(key, node);
@@ -70,7 +70,7 @@
     };
     for (const auto& [name, node] : root) {
       const std::string key(name.str());
-      if (installation.count(key)) continue;
+      if (elsewhere.count(key)) continue;
       const toml::table* section = node.as_table();
       if (!section || !sections.count(key)) {
         one(key, node);
@@ -124,6 +124,8 @@
   Reader(path, faults).read(*root, result);
   Section file(*root, path, "", faults);
   result.installation = read_installation(file);
+  result.peers = read_peers(file);
+  result.regions = read_regions(file);
   return result;
 }
 
@@ -146,6 +148,9 @@
   need(!in.platform.listen.empty(), "serve.listen", "is missing, and no platform's file is given");
   need(!in.classes.empty(), "classes", "is missing, and no platform's file is given");
   need(!in.platform.kinds.empty(), "kinds", "is missing, and no platform's file is given");
+  // Danger: conductors of the default's name would all be one to their peers.
+  need(!settings.peers || !settings.peers->at.empty() || in.platform.name != Installation::unnamed,
+       "serve.name", "is missing: peers know each other by name");
   need(in.fixed || !in.platform.discovery.empty(), "fleet", "is missing, and no serve.discovery is given");
 }
 
@@ -192,6 +197,25 @@
 # left out, the platform's file (mgmt) or BALANCER_MGMT says; without any of them it is off.
 # listen = "127.0.0.1:9092"
 
+# ---- Conductors that know each other; docs/fleet.md ----
+# Off unless the section is there.
+
+# [peers]
+# listen = "10.0.0.7:7946"    # UDP; advertise is where others send to, if that is another address
+# site = "a"                  # the zone of the list in which this conductor stands
+# seeds = ["10.0.0.8:7946", "10.1.0.8:7946"]  # conductors to join by; any one is enough
+# key_files = ["fleet.key"]   # lemonroute config key FILE makes one; the first seals, each one opens
+# period = "1s"               # one probe each
+# siblings_least = 1          # bounds of what the number of conductors seen makes of settings.siblings
+# siblings_most = 100000
+
+# [peers.at.estratti-1]       # listen, advertise and site of the conductor of that name, so that one file serves all
+# listen = "10.0.0.7:7946"
+
+# [regions.nord]              # sites by region; keepers: 1, 3, 5 or 7 conductors that keep the rights to its pools
+# sites = ["a", "b"]
+# keepers = ["estratti-1", "estratti-2", "estratti-3"]
+
 # ---- Without a platform ----
 # Where a platform's file is given (BALANCER_CONFIG, or platform.config above), it wins in all that follows, and
 # [classes.NAME] may only name classes that it knows. Without one, all of this is needed.
--- a/src/config/operator.h
+++ b/src/config/operator.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "base/log.h"
+#include "config/fleet.h"
 #include "config/installation.h"
 
 namespace lemonroute::config {
@@ -19,6 +20,8 @@
   bool grpc_nodes = false;
   std::string agent_check_listen;  // empty: off
   std::string management_listen;   // empty: where the platform says, if it does
+  std::optional<PeersFile> peers;  // none: off
+  Regions regions;
   Installation installation;       // what holds where no platform's file speaks
 };
 
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -23,14 +23,18 @@
 
 class SystemClock : public Clock {
  public:
+  // Wrong by so much, for tests.
+  explicit SystemClock(Micros wrong_by = {})
+      : offset_(std::chrono::duration_cast<Micros>(std::chrono::system_clock::now().time_since_epoch() -
+                                                   std::chrono::steady_clock::now().time_since_epoch()) +
+                wrong_by) {}
   Micros now() const override {
     return offset_ +
            std::chrono::duration_cast<Micros>(std::chrono::steady_clock::now().time_since_epoch());
   }
 
  private:
-  Micros offset_ = std::chrono::duration_cast<Micros>(std::chrono::system_clock::now().time_since_epoch() -
-                                                      std::chrono::steady_clock::now().time_since_epoch());
+  Micros offset_;
 };
 
 // What is sent to a node, the same at every attempt.
--- a/src/ops/management.cpp
+++ b/src/ops/management.cpp
@@ -12,6 +12,8 @@
 constexpr seconds for_a_call{2};     // to come whole, from connecting on
 constexpr seconds for_an_answer{1};  // to be taken
 
+constexpr const char* json_fields = "Content-Type: application/json\r\nCache-Control: no-store\r\n";
+
 }  // namespace
 
 class Management::Caller : net::Connection::Handler {
@@ -78,8 +80,8 @@
 };
 
 Management::Management(net::Loop& loop, const std::string& listen, Conductor& conductor, const Status& status,
-                       std::function<Reloads()> reloads)
-    : loop_(loop), conductor_(conductor), status_(status), reloads_(std::move(reloads)) {
+                       std::function<Reloads()> reloads, Fleet fleet)
+    : loop_(loop), conductor_(conductor), status_(status), reloads_(std::move(reloads)), fleet_(std::move(fleet)) {
   listener_ = std::make_unique<net::Listener>(loop, listen, [this](evutil_socket_t fd) { accept(fd); });
 }
 Management::~Management() = default;
@@ -100,11 +102,12 @@
 
 Management::Answer Management::answer(const http::Head& head) {
   const auto path = head.target.substr(0, head.target.find('?'));
-  const bool reads = path == "/ready" || path == "/metrics";
+  const bool reads = path == "/ready" || path == "/metrics" || (fleet_ && path == "/fleet");
   const bool out = path == "/instances/disable", orders = out || path == "/instances/enable";
   if (!reads && !orders) return {404, {}, {}};
   if (head.method != (reads ? "GET" : "POST")) return {405, {}, reads ? "Allow: GET\r\n" : "Allow: POST\r\n"};
   if (path == "/metrics") return metrics();
+  if (path == "/fleet") return fleet();
   if (path == "/ready") return {status_.state() == State::draining ? 503 : 200, {}, {}};
   const auto name = http::query_value(head.target, "name");
   if (!name || name->empty()) return {400, "name=ID is missing or can't be read\n", {}};
@@ -132,7 +135,12 @@
                            {"conf_invalid", reloads.invalid}};
   // Names of classes come from a file: what is no UTF-8 there must not end the program here.
   return {200, all.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n",
-          "Content-Type: application/json\r\nCache-Control: no-store\r\n"};
+          json_fields};
+}
+
+Management::Answer Management::fleet() const {
+  const auto known = fleet_();
+  return known ? Answer{200, *known, json_fields} : Answer{503, "nothing is known yet\n", {}};
 }
 
 }  // namespace lemonroute::ops
--- a/src/ops/management.h
+++ b/src/ops/management.h
@@ -20,9 +20,11 @@
 
 class Management {
  public:
-  // Answers to calls are made at the moment of the call; `reloads` tells what was counted of files.
+  // Answers to calls are made at the moment of the call; `reloads` tells what was counted of files, `fleet` what is known
+  // of the other conductors as JSON: null for the moment, none where peers are off.
+  using Fleet = std::function<std::shared_ptr<const std::string>()>;
   Management(net::Loop& loop, const std::string& listen, Conductor& conductor, const Status& status,
-             std::function<Reloads()> reloads);
+             std::function<Reloads()> reloads, Fleet fleet = {});
   ~Management();
   std::uint16_t port() const { return listener_->port(); }
 
@@ -36,6 +38,7 @@
   };
   Answer answer(const http::Head& head);
   Answer metrics() const;
+  Answer fleet() const;
   void accept(evutil_socket_t fd);
   void leave(Caller& caller);
 
@@ -43,6 +46,7 @@
   Conductor& conductor_;
   const Status& status_;
   std::function<Reloads()> reloads_;
+  Fleet fleet_;
   std::list<std::unique_ptr<Caller>> callers_;  // the longest there in front
   std::unique_ptr<net::Listener> listener_;
 };
