Discovery's calls decided by a class of their own; an answer that began is no proof

Lists with null, or without zone, cell, weight or start, are taken; before, one null threw the whole list away. In the HTTP client an attempt whose answer had begun counted as never sent while bytes of its request were left (on_closed in src/http/client.cpp); it is a reset now, as on the other wire.

--- a/src/discovery/list.cpp
+++ b/src/discovery/list.cpp
@@ -16,19 +16,26 @@
   throw ListError("lifecycle '" + word + "' is not known");
 }
 
+// What a deployment has not may be left out of its list, or be null there: neither says anything.
+template <class T>
+T said(const json& item, const char* key, T otherwise) {
+  const auto found = item.find(key);
+  return found == item.end() || found->is_null() ? otherwise : found->get<T>();
+}
+
 Conductor::Listed parse_node(const json& item) {
   Conductor::Listed node;
   node.name = item.at("instanceId").get<std::string>();
   if (node.name.empty()) throw ListError("an instanceId is empty");
   node.phase = parse_phase(item.at("lifecycle").get<std::string>());
-  node.address = item.value("hostPort", "");
+  node.address = said<std::string>(item, "hostPort", "");
   if (node.phase != Phase::gone || !node.address.empty()) net::Endpoint{node.address};  // throws if it is none
-  node.zone = item.value("zone", "");
-  node.kind = item.value("machineType", "");
-  node.cell = item.value("cell", std::uint16_t(0));
-  node.weight = item.value("weight", 1.0f);
+  node.zone = said<std::string>(item, "zone", "");
+  node.kind = said<std::string>(item, "machineType", "");
+  node.cell = said<std::uint16_t>(item, "cell", 0);
+  node.weight = said(item, "weight", 1.0f);
   if (!std::isfinite(node.weight)) throw ListError("a weight is no number");
-  node.started = std::chrono::milliseconds(item.value("startedAtMs", std::int64_t(0)));
+  node.started = std::chrono::milliseconds(said<std::int64_t>(item, "startedAtMs", 0));
   return node;
 }
 
--- a/src/discovery/watch.h
+++ b/src/discovery/watch.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "core/conductor.h"
+#include "discovery/cadence.h"
 #include "http/client.h"
 
 namespace lemonroute::discovery {
@@ -18,15 +19,16 @@
   void body(std::string_view piece) override;
   void ended(http::Ending how) override;
   void failed(std::string_view why);
+  void broken(std::string_view why);  // the call that is under way
   void take();
 
   std::string address_;
   Conductor& conductor_;
   http::Client client_;
-  net::Timer again_, overdue_;
+  net::Timer again_, overdue_, whole_;
   std::unique_ptr<http::Exchange> exchange_;
-  std::uint32_t version_ = 0;
-  bool has_list_ = false, well_ = true;
+  Cadence cadence_;
+  bool well_ = true;
   int status_ = 0;
   std::string text_;
 };
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -109,8 +109,8 @@
 
   void on_closed() override {
     if (exchange_ && has_head_ && body_.until_close()) return end(Ending::whole);
-    // Bytes that never left prove that the node has not run the request.
-    end(!connected_ || connection_.unsent() > 0 ? Ending::not_sent : Ending::broken);
+    // Bytes that never left prove that the node has not run the request; but not against an answer that has begun.
+    end(!connected_ || (connection_.unsent() > 0 && !has_head_) ? Ending::not_sent : Ending::broken);
   }
 
   // The answer is whole; the connection can serve again if both sides are through with this exchange.
