Expectations watch held state by the settings' own time

The monitor's limits took one second for what is held, whatever extra.release-us says; with half a second it passed a conductor that breaks the rule there. expect_tests and the shipped expectations with their twins hold.

--- a/src/expect/world.cpp
+++ b/src/expect/world.cpp
@@ -624,6 +624,7 @@
 rules::Limits limits_of(const Settings& settings) {
   rules::Limits limits;
   limits.drain_grace = std::min<Micros>(milliseconds(500), std::max(settings.drain_grace, Micros(0)));
+  if (settings.release_within > Micros(0)) limits.held = settings.release_within;
   limits.cold_for = settings.cold_for;
   limits.cold_window = settings.fall_window;
   limits.cold_from = settings.cold_from;
