The peers' thread ends without a last round, and says so where it failed

Seen: one of some twenty ends of a service crashed. Its loop runs deferred jobs once more as it goes, and the round that was put off so met an agent that was gone already. A round for what came together is now the timer's. A fault on that thread shows in GET /fleet.

--- a/src/guide/fleet.cpp
+++ b/src/guide/fleet.cpp
@@ -36,6 +36,11 @@
 
 Fleet::~Fleet() { service_.reset(); }
 
+std::shared_ptr<const std::string> Fleet::text() const {
+  if (!service_->failed()) return text_;
+  return std::make_shared<const std::string>("{\"failed\":true}\n");
+}
+
 void Fleet::woken(Micros) { notes_.read(witnesses_); }
 
 void Fleet::round(Micros now, const peers::Service& service) {
--- a/src/guide/fleet.h
+++ b/src/guide/fleet.h
@@ -38,8 +38,8 @@
   static constexpr std::chrono::milliseconds least_between{10};
 
   Witness& witness() { return notes_; }
-  // What is known, as JSON; a moment old. Null until the first was made.
-  std::shared_ptr<const std::string> text() const { return text_; }
+  // What is known, as JSON; a moment old. Null until the first was made; says so where the peers' thread has ended.
+  std::shared_ptr<const std::string> text() const;
   const std::string& address() const { return service_->address(); }
 
  private:
--- a/src/peers/service.cpp
+++ b/src/peers/service.cpp
@@ -152,7 +152,8 @@
       flood_.prove(now, from);
       ++opened_;
       agent_.receive(now, from, *plain);
-      if (!std::exchange(round_due_, true)) loop_.defer([this] { guarded([this] { round(); }); });
+      // One round for all that has come together. Danger: a deferred job would run once more as the loop goes.
+      if (!std::exchange(round_due_, true)) due_.start(Micros(0));
       return true;
     }
     constexpr Refusals::Kind kinds[] = {Refusals::forged, Refusals::oversize, Refusals::version,
--- a/tests/guide/fleet_test.cpp
+++ b/tests/guide/fleet_test.cpp
@@ -170,5 +170,25 @@
   EXPECT_TRUE(comes([&] { return newest->lay(node).away; }));
 }
 
+struct Broken : Talker {
+  void lost(const Node&, Micros) override { throw std::runtime_error("a slip"); }
+};
+
+TEST_F(World, a_fault_on_the_thread_of_the_peers_ends_them_and_not_what_serves) {
+  auto rider = std::make_unique<Broken>();
+  std::vector<Guest> guests(1);
+  guests[0].witness = rider.get();
+  guests[0].rider = std::move(rider);
+  Conductor one(loop, clock, "one", {}, keys, std::move(guests)), two(loop, clock, "two", {one.fleet.address()}, keys);
+  ASSERT_TRUE(comes([&] { return one.siblings == 2 && two.there() == 2; }));
+  Node node;
+  one.fleet.witness().listed({node}, clock.now());
+  one.fleet.witness().lost(node, clock.now());
+  EXPECT_TRUE(comes([&] { return one.json().value("failed", false); }));
+  for (std::size_t i = 0; i < 2 * Notes::room; ++i) one.fleet.witness().kept(node, i, 0, 1, 0, clock.now());
+  EXPECT_EQ(one.siblings, 2u);  // what was known last
+  EXPECT_TRUE(comes([&] { return two.there() == 1; }));
+}
+
 }  // namespace
 }  // namespace lemonroute::guide
