--- a/src/pools/move/move.cpp
+++ b/src/pools/move/move.cpp
@@ -2,13 +2,13 @@
 
 namespace lemonroute::pools {
 
-const char* phase_text(Phase phase) {
-  switch (phase) {
-    case Phase::planned: return "planned";
-    case Phase::draining: return "draining";
-    case Phase::handed_over: return "handed over";
-    case Phase::cold: return "cold";
-    case Phase::serving: break;
+const char* step_text(Step step) {
+  switch (step) {
+    case Step::planned: return "planned";
+    case Step::draining: return "draining";
+    case Step::handed_over: return "handed over";
+    case Step::cold: return "cold";
+    case Step::serving: break;
   }
   return "serving";
 }
@@ -35,13 +35,13 @@
   why_ = std::move(why);
 }
 
-Phase Move::phase(Micros now) const {
-  if (seen_.owned.ballot.counter > 0 && !held_since_) return Phase::draining;
-  if (planned_ && *planned_ != seen_.owned.owner) return Phase::planned;
-  if (seen_.owned.ballot.counter == 0) return Phase::serving;
-  // The owner's conductors learn of it with their next question.
-  if (now < *held_since_ + terms_.asks_every()) return Phase::handed_over;
-  return now < *held_since_ + cold_for_ ? Phase::cold : Phase::serving;
+Step Move::step(Micros now) const {
+  if (seen_.owned.ballot.counter > 0 && !held_since_) return Step::draining;
+  if (planned_ && *planned_ != seen_.owned.owner) return Step::planned;
+  if (seen_.owned.ballot.counter == 0) return Step::serving;
+  // The owner's conductors learn of it with their next question, those at home with another one.
+  if (now < *held_since_ + 2 * terms_.asks_every()) return Step::handed_over;
+  return now < *held_since_ + cold_for_ ? Step::cold : Step::serving;
 }
 
 bool Move::undoes(Micros now) const {
--- a/src/pools/move/move.h
+++ b/src/pools/move/move.h
@@ -16,8 +16,8 @@
 
 namespace lemonroute::pools {
 
-enum class Phase : std::uint8_t { serving, planned, draining, handed_over, cold };
-const char* phase_text(Phase phase);
+enum class Step : std::uint8_t { serving, planned, draining, handed_over, cold };
+const char* step_text(Step step);
 
 class Move {
  public:
@@ -32,8 +32,8 @@
   void plan(RegionId to, std::string why);  // by the planning conductor; holds until the ballot is seen, or unplan
   void unplan() { planned_.reset(); }
 
-  Phase phase(Micros now) const;
-  bool moving(Micros now) const { return phase(now) != Phase::serving; }
+  Step step(Micros now) const;
+  bool moving(Micros now) const { return step(now) != Step::serving; }
   // To whom the planning conductor has to propose the pool now, under a ballot newer than the one seen; else nothing.
   std::optional<RegionId> proposal(Micros now) const;
   bool undoes(Micros now) const;  // the proposal takes it home, since its owner was not there
--- a/src/pools/planner/balance.cpp
+++ b/src/pools/planner/balance.cpp
@@ -8,8 +8,10 @@
   std::sort(pools_.begin(), pools_.end(), [](auto& a, auto& b) { return a.name < b.name; });
   for (const auto& region : inputs.regions) stands_[region.name].region = &region;
   for (const auto& pool : pools_) {
+    if (lost(pool)) continue;
+    if (const auto home = stands_.find(pool.home); home != stands_.end()) home->second.home_sites.insert(pool.name.site);
     const auto at = stands_.find(pool.owner);
-    if (at == stands_.end() || lost(pool)) continue;
+    if (at == stands_.end()) continue;
     at->second.writers += pool.writers;
     at->second.at_site[pool.name.site] += pool.writers;
   }
@@ -23,7 +25,8 @@
 
 bool Balance::keeps_room(const Stand& stand, const Pool& without) const {
   // A region that stands at one site alone goes with it, conductors and all: there is nothing to keep room for.
-  if (stand.at_site.size() < 2) return true;
+  // What it has borrowed elsewhere goes back all the same.
+  if (stand.home_sites.size() < 2) return true;
   double most = 0;
   for (const auto& [site, writers] : stand.at_site)
     most = std::max(most, writers - (site == without.name.site ? without.writers : 0));
@@ -31,7 +34,7 @@
 }
 
 std::string Balance::held_by(const Pool& pool) const {
-  if (pool.fixed) return "reserve";
+  if (!pool.fixed.empty()) return pool.fixed;
   if (pool.moving) return "moving already";
   if (lost(pool)) return "site lost";
   const auto owner = stands_.find(pool.owner);
--- a/src/pools/planner/balance.h
+++ b/src/pools/planner/balance.h
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -18,6 +19,7 @@
     const Region* region = nullptr;
     double writers = 0;                     // at sites that are not lost
     std::map<std::string, double> at_site;  // those, by site
+    std::set<std::string> home_sites;       // of its own pools, not lost
     double short_by() const { return std::max(0.0, region->wanted - writers); }
   };
   const std::map<std::string, Stand>& stands() const { return stands_; }
--- a/src/pools/planner/planner.cpp
+++ b/src/pools/planner/planner.cpp
@@ -30,7 +30,7 @@
     const Pool& pool = balance.pools()[i];
     if (!balance.held_by(pool).empty()) continue;
     for (const auto& [region, stand] : balance.stands()) {
-      if (region == pool.owner || stand.short_by() <= 0) continue;
+      if (region == pool.owner || !stand.region->takes || stand.short_by() <= 0) continue;
       const Choice one{i, region, balance.gain(pool, region), balance.distance(region, pool)};
       if (one.gain <= hysteresis) continue;
       // Sums of doubles in another order differ in their last digits: gains are compared to a thousandth of a writer.
@@ -46,7 +46,8 @@
   std::optional<Choice> best;
   for (std::size_t i = 0; i < balance.pools().size(); ++i) {
     const Pool& pool = balance.pools()[i];
-    if (pool.owner == pool.home || !balance.known(pool.home) || !balance.held_by(pool).empty()) continue;
+    if (pool.owner == pool.home || !balance.known(pool.home) || !balance.stands().at(pool.home).region->takes ||
+        !balance.held_by(pool).empty()) continue;
     const auto owner = balance.stands().find(pool.owner);
     if (owner != balance.stands().end() &&
         owner->second.writers - pool.writers < owner->second.region->wanted + hysteresis)
@@ -74,7 +75,8 @@
   }
   for (const auto& one : inputs.regions) wanted += one.wanted;
   std::string worst = "pools";
-  if (capped && held["moving at once"] > 0) worst = "moving at once";
+  if (!balance.stands().at(region).region->takes) worst = "nobody there answers";
+  else if (capped && held["moving at once"] > 0) worst = "moving at once";
   else if (wanted > all + 1e-9) worst = wanted > all + lost + 1e-9 ? "writers in all" : "site lost";
   else {
     double most = 0;
--- a/src/pools/planner/planner.h
+++ b/src/pools/planner/planner.h
@@ -22,12 +22,13 @@
   std::string name;
   double wanted = 0;  // writers
   double reserve = 0; // writers below which it is never brought by lending
+  bool takes = true;  // false: no pool is moved there, since nobody there answers
 };
 struct Pool {
   PoolName name;
   std::string home, owner;  // regions; while it moves, the owner is the one to come
   double writers = 0;
-  bool fixed = false;   // of its region's reserve: never moves
+  std::string fixed;    // why it can't move at all, "reserve" for one; empty: it can
   bool moving = false;  // handed over, or cold, too
 };
 struct Settings {
--- /dev/null
+++ b/tests/pools/parts_test.cpp
@@ -0,0 +1,116 @@
+#include <gtest/gtest.h>
+
+#include <numeric>
+#include <random>
+
+#include "peers/rider.h"
+#include "pools/demand/sum.h"
+#include "pools/rider/planning.h"
+#include "pools/wire/wire.h"
+
+namespace lemonroute::pools {
+namespace {
+
+// Whatever one of n reports says, the sum is at most 1 + c / (n - 1) times what the others say, and never less than without
+// it; where those are alike, they count whole beside any lie.
+TEST(Demand, OneConductorMovesTheSumByAStatedShareOnly) {
+  for (std::uint32_t seed = 1; seed <= 2000; ++seed) {
+    std::mt19937 rng(seed);
+    const double influence = 2 + rng() % 4;
+    const std::size_t n = 4 + rng() % 30;
+    const bool alike = rng() % 2;
+    std::vector<double> honest(n - 1);
+    for (auto& one : honest)
+      one = alike ? 100 + rng() % 20 : rng() % 3 == 0 ? 0 : (rng() % 1000) * (rng() % 10 == 0 ? 20.0 : 1.0);
+    const double truth = std::accumulate(honest.begin(), honest.end(), 0.0);
+    double last = alike ? truth - 1e-6 : 0;
+    for (const double lie : {0.0, 1.0, 1e3, 1e9}) {
+      auto all = honest;
+      all.push_back(lie);
+      std::shuffle(all.begin(), all.end(), rng);
+      const double sum = bounded_sum(all, influence);
+      EXPECT_LE(sum, truth * (1 + influence / static_cast<double>(n - 1)) + 1e-6) << seed;
+      EXPECT_LE(sum, truth + lie + 1e-6);
+      EXPECT_GE(sum, last - 1e-6) << seed;
+      last = sum;
+    }
+  }
+  EXPECT_EQ(bounded_sum({7}, 2), 7);
+  EXPECT_EQ(bounded_sum({}, 2), 0);
+}
+
+TEST(Demand, AgesOutAndNeedsHalfOfTheConductors) {
+  using std::chrono::seconds;
+  Sum sum(2);
+  sum.heard(0, "a", {5, 4, 0}, seconds(100));
+  sum.heard(0, "a", {4, 9, 0}, seconds(101));  // late
+  sum.heard(1, "b", {1, 7, 0}, seconds(101));
+  EXPECT_EQ(sum.writers(0, 2, seconds(102)), 4);
+  EXPECT_EQ(sum.writers(0, 3, seconds(102)), std::nullopt);
+  EXPECT_EQ(sum.writers(0, 2, seconds(131)), std::nullopt);
+}
+
+TEST(Demand, RefusalsWeighIn) {
+  Own own;
+  EXPECT_FALSE(own.report(Micros(1)));  // nothing seen is not the same as nothing wanted
+  own.add({0.5, 0.5, 5, 5, 8}, Micros(1));
+  EXPECT_NEAR(own.report(Micros(2))->writers, 8, 1e-9);
+  own.add({0, 0, 0, 0, 8}, std::chrono::minutes(10));
+  EXPECT_NEAR(own.report(std::chrono::minutes(10))->writers, 0, 1e-9);
+}
+
+TEST(Demand, CorrectsTheCalendarWithinBounds) {
+  Settings settings;
+  settings.correction = 0.1;
+  settings.fill = 0.5;
+  EXPECT_EQ(wish_of(settings, 0.4, std::nullopt, 100).wanted, 40);
+  EXPECT_NEAR(wish_of(settings, 0.4, 21, 100).wanted, 42, 1e-9);
+  EXPECT_NEAR(wish_of(settings, 0.4, 1000, 100).wanted, 50, 1e-9);
+  EXPECT_NEAR(wish_of(settings, 0.4, 0, 100).wanted, 30, 1e-9);
+  EXPECT_NEAR(wish_of(settings, 0.95, 1000, 100).wanted, 100, 1e-9);
+}
+
+// What is written is read as it was, in pieces that fit; no damage to it makes more than a fault.
+TEST(Wire, PiecesAndDamage) {
+  std::mt19937_64 rng(3);
+  const Micros now = std::chrono::hours(1000);
+  for (int round = 0; round < 200; ++round) {
+    wire::Grant grant{rng(), rng() % 2 == 0, {}};
+    for (std::size_t i = 0; i < 1 + rng() % 120; ++i) {
+      const std::uint64_t moved = rng() % 2;
+      grant.pools.push_back({{std::string(1 + rng() % most_name, 'x'), static_cast<std::uint32_t>(rng() % 65536)},
+                             {{moved * rng() % 1000, static_cast<RegionId>(moved * rng() % 4), moved * rng()},
+                              static_cast<RegionId>(rng() % 4), Micros(0)}, rng() % 2 == 0, rng() % 2 == 0});
+      if (moved) grant.pools.back().owned.since = now - std::chrono::milliseconds(1 + rng() % 100000);
+    }
+    std::vector<wire::Entry> got;
+    for (auto parcel : wire::write(grant, 9, now)) {
+      ASSERT_LE(parcel.size(), peers::Outbox::most);
+      const auto read = wire::read(parcel, 9, 4, now);
+      ASSERT_TRUE(read.message);
+      const auto& one = std::get<wire::Grant>(*read.message);
+      EXPECT_EQ(one.nonce, grant.nonce);
+      EXPECT_EQ(one.abstains, grant.abstains);
+      got.insert(got.end(), one.pools.begin(), one.pools.end());
+      EXPECT_EQ(wire::read(parcel, 8, 4, now).fault, wire::Fault::mark);
+      for (int damage = 0; damage < 20; ++damage) {
+        auto bad = parcel;
+        bad[rng() % bad.size()] = static_cast<char>(rng());
+        if (rng() % 3 == 0) bad.resize(rng() % bad.size());
+        const auto what = wire::read(bad, 9, 4, now);
+        if (!what.message) continue;
+        const auto* some = std::get_if<wire::Grant>(&*what.message);
+        if (!some) continue;
+        for (const auto& entry : some->pools) ASSERT_TRUE(entry.owned.owner < 4 && entry.pool.site.size() <= most_name);
+      }
+    }
+    ASSERT_EQ(got.size(), grant.pools.size());
+    for (std::size_t i = 0; i < got.size(); ++i)
+      ASSERT_TRUE(got[i].pool == grant.pools[i].pool && got[i].owned.ballot == grant.pools[i].owned.ballot &&
+                  got[i].owned.owner == grant.pools[i].owned.owner && got[i].owned.since == grant.pools[i].owned.since &&
+                  got[i].ok == grant.pools[i].ok && got[i].active == grant.pools[i].active);
+  }
+}
+
+}  // namespace
+}  // namespace lemonroute::pools
