--- a/bench/pools_day.cpp
+++ b/bench/pools_day.cpp
@@ -50,8 +50,8 @@
   return day;
 }
 
-Settings settings() {
-  Settings s;
+pools::Settings settings() {
+  pools::Settings s;
   s.fill = 0.85;
   s.correction = 0.25;
   s.hysteresis = 0.04;
@@ -76,7 +76,7 @@
 enum class Way { calendar, demand };
 
 Outcome moved(const DayDrawn& day, Way way) {
-  const Settings with = settings();
+  const pools::Settings with = settings();
   const Planning planning(with);
   Inventory stock;
   std::map<PoolName, Planning::PoolState> states;
