Tier map of kept state: eras, votes, keepers, hints as a rider between conductors

Each conductor knows alone what is kept where, and after a restart nothing. The map takes what conductors see at devices up to keepers of the site and region, chosen by rendezvous hash, and back as hints.

--- /dev/null
+++ b/src/tiers/describe.cpp
@@ -0,0 +1,54 @@
+// What operators see of the map, on the management listener.
+#include <nlohmann/json.hpp>
+
+#include "tiers/rider.h"
+
+namespace lemonroute::tiers {
+
+namespace {
+nlohmann::json described(const Level& level, const std::string& me) {
+  nlohmann::json shards_of = nlohmann::json::array();
+  for (std::size_t shard = 0; shard < shards; ++shard)
+    shards_of.push_back({{"shard", shard},
+                         {"keepers", level.homes().keepers(shard)},
+                         {"kept_here", level.homes().keeps(me, shard)},
+                         {"headed_here", level.homes().heads(me, shard)}});
+  const auto& counts = level.keeper().counts();
+  return {{"members", level.homes().members().size()},
+          {"shards", shards_of},
+          {"keys_kept", level.keeper().size()},
+          {"keys_headed", level.board().size()},
+          {"keys_told", level.told().size()},
+          {"votes", counts.votes},
+          {"evicted", counts.evicted + level.told().evicted()},
+          {"over_quota", counts.over_quota},
+          {"expired", counts.expired},
+          {"told_by_no_keeper", level.not_keepers()}};
+}
+}  // namespace
+
+nlohmann::json Tiers::describe(Micros now) const {
+  nlohmann::json traffic = nlohmann::json::object();
+  for (const auto& [kind, counts] : known_.traffic)
+    traffic[kind] = {{"parcels_out", counts.parcels_out}, {"bytes_out", counts.bytes_out},
+                     {"parcels_in", counts.parcels_in}, {"bytes_in", counts.bytes_in}};
+  nlohmann::json devices = nlohmann::json::object();
+  for (const auto& [id, device] : devices_)
+    if (const auto* era = known_.eras.find(id))
+      devices[device.name] = {{"start", era->start}, {"losses", {era->lanes & 0xffff, era->lanes >> 16 & 0xffff,
+                                                                 era->lanes >> 32 & 0xffff, era->lanes >> 48}}};
+  const auto& eras = known_.eras.counts();
+  return {{"device", {{"keys", device_.size()}, {"evicted", device_.evicted()}, {"worth_error", device_.error()}}},
+          {"site", described(site_, known_.options.name)},
+          {"region", described(region_, known_.options.name)},
+          {"map", {{"version", map_->version()}, {"keys", map_->keys()}, {"holders_bound", holders_bound}}},
+          {"eras", {{"known", known_.eras.size()}, {"digest", known_.eras.digest()}, {"advanced", eras.advanced},
+                    {"voids_told", eras.told_voids}, {"voids_held_back", eras.held_back},
+                    {"losses_disproved", eras.disproved}, {"refused", eras.refused}, {"devices", devices}}},
+          {"trust", {{"judged", known_.trust.size()}, {"distrusted", known_.trust.distrusted(now)},
+                     {"hints_denied", known_.denied.size()}}},
+          {"traffic", traffic},
+          {"dropped", known_.dropped}};
+}
+
+}  // namespace lemonroute::tiers
--- /dev/null
+++ b/src/tiers/rider.h
@@ -0,0 +1,65 @@
+// The map of kept state from device to site to region, as a rider on the datagrams between conductors.
+// docs/tiers-design.md has the ways weighed, the bounds and what was measured. No I/O, no clock.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+
+#include "core/guide.h"
+#include "peers/rider.h"
+#include "tiers/era/gossip.h"
+#include "tiers/share/uplift.h"
+#include "tiers/snapshot/maker.h"
+#include "tiers/store/device.h"
+
+namespace lemonroute::tiers {
+
+class Tiers : public peers::Rider {
+ public:
+  Tiers(Options options, std::uint64_t seed);
+
+  // What this conductor sees while it serves, as a Witness hears it; on the peers' thread.
+  void kept(const Node& node, Key session, Key shared, double tokens, double shared_tokens, Micros now);
+  // What a node itself has counted as kept of a prompt, from its beginning, when it read it: hints that said much more
+  // were wrong. The one thing that corrects trust in others.
+  void found(const Node& node, Key session, Key shared, double tokens, Micros now);
+  void lost(const Node& node, Micros now);
+  void listed(const std::vector<Node>& nodes, Micros now);
+
+  // Never null. Another one at the most every 200 ms, and every second as what it says fades.
+  std::shared_ptr<const Map> map() const { return map_; }
+
+  peers::Topic topic() const override { return peers::Topic::tiers; }
+  void viewed(Micros now, const peers::View& view) override;
+  void receive(Micros now, std::string_view from, std::string_view bytes, peers::Outbox& out) override;
+  void run_due(Micros now, peers::Outbox& out) override;
+  Micros next_due() const override { return due_; }
+  nlohmann::json describe(Micros now) const override;
+
+ private:
+  void advanced(NameId device);
+  void learn(const Parcel& parcel, Micros now);
+  void gossip(Micros now, peers::Outbox& out);
+  void compare(Micros now, peers::Outbox& out);
+  void send_eras(std::string_view to, const std::vector<std::pair<NameId, Era>>& eras, peers::Outbox& out);
+  void contribute(Micros now, peers::Outbox& out);
+  void ask(Micros now, peers::Outbox& out);
+  void judge(KeyId key, NameId device, double tokens, Micros now, std::map<NameId, double>& wrong, std::set<NameId>& right);
+
+  Known known_;
+  DeviceTier device_;
+  Level site_, region_;
+  Uplift uplift_;
+  Gossip gossip_;
+  Budget vote_budget_;
+  std::vector<std::string> members_;  // that are there, of all sites
+  MapMaker::Devices devices_;
+  std::shared_ptr<const Map> map_;
+  bool changed_ = false;
+  Micros due_{}, made_{}, compared_{}, uplifted_{}, swept_{}, asked_{};
+  unsigned asks_ = 0;
+  NameId eras_cursor_ = 0;
+};
+
+}  // namespace lemonroute::tiers
--- /dev/null
+++ b/src/tiers/share/level.h
@@ -0,0 +1,63 @@
+// One level above the device: the site's or the region's. Takes votes as a keeper, tells as a head of shards, and takes
+// what the heads of other shards tell.
+#pragma once
+
+#include <unordered_map>
+
+#include "tiers/names/homes.h"
+#include "tiers/share/known.h"
+#include "tiers/store/board.h"
+#include "tiers/store/keeper.h"
+#include "tiers/store/told.h"
+
+namespace lemonroute::tiers {
+
+class Level {
+ public:
+  Level(Known& known, Tier tier, std::size_t most_keys);
+
+  std::vector<std::size_t> viewed(const peers::View& view);  // the shards whose keepers have changed
+  void votes(Micros now, NameId contributor, const Parcel& parcel);
+  bool rows(Micros now, std::string_view from, const Parcel& parcel);  // whether hints have changed
+  void asked(Micros now, std::string_view from);
+  void ask(Micros now, peers::Outbox& out);  // for all rows, of each head
+  bool run(Micros now, peers::Outbox& out);  // whether hints have changed
+  void eras_advanced() { choose_all_ = true; }
+
+  // Puts a vote of this conductor to the key's keepers, itself included; the parcels go with `flush`.
+  struct Mail {
+    std::unordered_map<std::string, Packer> open;
+  };
+  void vote(Mail& mail, const Line& line, Micros now, Budget& budget, peers::Outbox& out);
+  void flush(Mail& mail, Budget& budget, peers::Outbox& out);
+
+  const Homes& homes() const { return homes_; }
+  const Keeper& keeper() const { return keeper_; }
+  const Board& board() const { return board_; }
+  const Told& told() const { return told_; }
+  std::uint64_t not_keepers() const { return not_keepers_; }
+
+ private:
+  bool choose_one(KeyId key, Micros now);
+  void tell_all(Micros now, peers::Outbox& out);
+  void serve_asks(Micros now, peers::Outbox& out);
+  const char* word() const { return tier_ == Tier::site ? "site-rows" : "region-rows"; }
+  Known& known_;
+  Tier tier_;
+  Homes homes_;
+  Keeper keeper_;
+  Board board_;
+  Told told_;
+  Budget push_;
+  struct Asker {
+    KeyId cursor = 0;
+    Micros at{};
+    bool open = true;
+  };
+  std::map<std::string, Asker> askers_;  // members only
+  Micros chosen_all_{};
+  bool choose_all_ = false;
+  std::uint64_t not_keepers_ = 0;
+};
+
+}  // namespace lemonroute::tiers
--- /dev/null
+++ b/src/tiers/snapshot/map.cpp
@@ -0,0 +1,33 @@
+#include "tiers/snapshot/map.h"
+
+#include <algorithm>
+
+namespace lemonroute::tiers {
+
+std::vector<KeptAt> Map::kept(Key session, Key shared) const {
+  std::vector<Held> all;
+  const auto gather = [&](KeyId key) {
+    const auto found = held_.find(key);
+    if (found == held_.end()) return;
+    for (const auto& held : found->second) {
+      const auto same = std::find_if(all.begin(), all.end(), [&](const Held& one) { return one.node == held.node; });
+      if (same == all.end()) all.push_back(held);
+      else if (held.tokens * held.confidence > same->tokens * same->confidence) *same = held;
+    }
+  };
+  if (session != 0) gather(names_.session(session));
+  if (shared != 0) gather(names_.shared(shared));
+  std::stable_sort(all.begin(), all.end(),
+                   [](const Held& a, const Held& b) { return a.tokens * a.confidence > b.tokens * b.confidence; });
+  if (all.size() > most_hints) all.resize(most_hints);
+  std::vector<KeptAt> kept;
+  for (const auto& held : all) kept.push_back({nodes_[held.node], held.tokens, held.confidence});
+  return kept;
+}
+
+Micros Map::lost(const Node& node) const {
+  const auto found = lost_.find(node.name);
+  return found == lost_.end() ? Micros{} : found->second;
+}
+
+}  // namespace lemonroute::tiers
--- /dev/null
+++ b/src/tiers/snapshot/map.h
@@ -0,0 +1,38 @@
+// The map as the serving loop reads it: made on the peers' thread, never changed afterwards, bounded.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "core/guide.h"
+#include "tiers/names/names.h"
+
+namespace lemonroute::tiers {
+
+class Map {
+ public:
+  struct Held {
+    std::uint32_t node = 0;  // index of `nodes`
+    float tokens = 0, confidence = 0;
+  };
+  explicit Map(const Names& names) : names_(names) {}
+
+  std::uint64_t version() const { return version_; }  // grows with each map that differs
+  // Best first, most_hints at the most. A key's holders are the same few at all conductors of a site (holders_bound of
+  // them), so that a hot opening is read at no more devices than that.
+  std::vector<KeptAt> kept(Key session, Key shared) const;
+  Micros lost(const Node& node) const;  // the last loss that others told of it; 0: none
+  std::size_t keys() const { return held_.size(); }
+
+ private:
+  friend class MapMaker;
+  Names names_;
+  std::uint64_t version_ = 0;
+  std::vector<std::string> nodes_;
+  std::unordered_map<KeyId, std::vector<Held>> held_;
+  std::unordered_map<std::string, Micros> lost_;
+};
+
+}  // namespace lemonroute::tiers
--- /dev/null
+++ b/src/tiers/store/board.cpp
@@ -0,0 +1,71 @@
+#include "tiers/store/board.h"
+
+#include <algorithm>
+
+namespace lemonroute::tiers {
+
+const std::vector<Shown>& Board::holders(KeyId key) const {
+  static const std::vector<Shown> none;
+  const auto at = lines_.find(key);
+  return at == lines_.end() ? none : at->second.line.holders;
+}
+
+void Board::set(Line line) {
+  const auto at = lines_.find(line.key);
+  if (at == lines_.end() && line.holders.empty()) return;
+  const auto key = line.key;
+  auto& entry = at == lines_.end() ? lines_[key] : at->second;
+  if (at == lines_.end() || differs(line.holders, entry.line.holders)) entry.waiting = true;
+  entry.line = std::move(line);
+}
+
+void Board::keep_only(const std::function<bool(KeyId)>& which) {
+  std::erase_if(lines_, [&](const auto& one) { return !which(one.first); });
+}
+
+std::vector<const Line*> Board::due(Micros now, Micros repeat, std::size_t most) const {
+  std::vector<const Entry*> chosen;
+  for (const auto& [key, entry] : lines_)
+    if (entry.waiting || now - entry.told >= repeat) chosen.push_back(&entry);
+  const auto first = [](const Entry* a, const Entry* b) {
+    if (a->waiting != b->waiting) return a->waiting;
+    if (!a->waiting && a->told != b->told) return a->told < b->told;
+    return a->line.weight > b->line.weight;
+  };
+  const auto few = std::min(most, chosen.size());
+  std::partial_sort(chosen.begin(), chosen.begin() + static_cast<std::ptrdiff_t>(few), chosen.end(), first);
+  std::vector<const Line*> lines;
+  for (std::size_t i = 0; i < few; ++i) lines.push_back(&chosen[i]->line);
+  return lines;
+}
+
+void Board::told(KeyId key, Micros now) {
+  const auto at = lines_.find(key);
+  if (at == lines_.end()) return;
+  if (at->second.line.holders.empty()) {
+    lines_.erase(at);
+    return;
+  }
+  at->second.waiting = false;
+  at->second.told = now;
+}
+
+std::vector<const Line*> Board::heaviest(std::size_t shard, std::size_t most, std::uint32_t tokens_least) const {
+  std::vector<const Line*> lines;
+  for (const auto& [key, entry] : lines_)
+    if (shard_of(key) == shard && !entry.line.holders.empty() && entry.line.holders.front().tokens >= tokens_least)
+      lines.push_back(&entry.line);
+  const auto few = std::min(most, lines.size());
+  std::partial_sort(lines.begin(), lines.begin() + static_cast<std::ptrdiff_t>(few), lines.end(),
+                    [](auto* a, auto* b) { return a->weight > b->weight; });
+  lines.resize(few);
+  return lines;
+}
+
+std::vector<KeyId> Board::keys() const {
+  std::vector<KeyId> keys;
+  for (const auto& [key, entry] : lines_) keys.push_back(key);
+  return keys;
+}
+
+}  // namespace lemonroute::tiers
