--- a/src/core/guide.h
+++ b/src/core/guide.h
@@ -45,6 +45,8 @@
   virtual ~Witness() = default;
   // A read has ended well at that node: so much of the prompt is kept there now.
   virtual void kept(const Node& node, Key session, Key shared, double tokens, double shared_tokens, Micros now) = 0;
+  // A node's own count of what it found kept of a prompt when it read it: it proves hints right or wrong.
+  virtual void found(const Node& /*node*/, Key /*session*/, Key /*shared*/, double /*tokens*/, Micros /*now*/) {}
   virtual void lost(const Node& node, Micros now) = 0;  // its kept texts are gone, it did not say so
   virtual void listed(const std::vector<Node>& nodes, Micros now) = 0;  // all that are known, after each change
   // What this conductor's writers did since the last call: the share of their memory that its own streams hold and that
--- a/src/tiers/options.h
+++ b/src/tiers/options.h
@@ -32,6 +32,8 @@
 };
 
 constexpr Micros tick = std::chrono::milliseconds(200);  // between two looks at what is to be said, and two maps
+constexpr unsigned news_again = 2;           // what is new is said so often once more, for datagrams get lost
+constexpr Micros news_every = std::chrono::seconds(1);
 constexpr std::size_t shards = 16;           // of the keys
 constexpr std::size_t keepers_of_shard = 3;  // conductors of the site or region
 constexpr std::size_t holders_bound = 3;     // of a key, in one site
--- a/src/tiers/rider.cpp
+++ b/src/tiers/rider.cpp
@@ -10,6 +10,8 @@
 namespace {
 constexpr std::size_t eras_of_parcel = 40;
 constexpr std::size_t keys_at_once = 256;  // told to keepers in a tick
+constexpr std::size_t vote_bytes_about = 75;  // of one key, to its three keepers
+constexpr std::size_t era_bytes = 32 * 1024;  // a second: who floods with eras makes nobody pass on more
 constexpr double most_tokens = 1 << 24;
 constexpr unsigned most_asks = 3;          // datagrams may be lost
 std::uint32_t whole(double tokens) { return static_cast<std::uint32_t>(std::clamp(tokens, 0.0, most_tokens)); }
@@ -22,6 +24,7 @@
       region_(known_, Tier::region, known_.options.limits.region_keys),
       gossip_(seed ^ known_.me),
       vote_budget_(known_.options.limits.vote_bytes),
+      era_budget_(era_bytes),
       map_(std::make_shared<Map>(known_.names)) {}
 
 void Tiers::kept(const Node& node, Key session, Key shared, double tokens, double shared_tokens, Micros now) {
@@ -143,7 +146,8 @@
     case Kind::rows: changed_ |= level.rows(now, from, *parcel); break;
     case Kind::ask: level.asked(now, from); break;
     case Kind::digest:
-      if (parcel->digest != known_.eras.digest()) send_eras(from, known_.eras.slice(eras_cursor_, eras_of_parcel), out);
+      era_budget_.refill(now);
+      if (parcel->digest != known_.eras.digest() && era_budget_.left() > 0) send_eras(from, known_.eras.slice(eras_cursor_, eras_of_parcel), out);
       break;
     case Kind::eras: break;
   }
@@ -153,10 +157,15 @@
 void Tiers::send_eras(std::string_view to, const std::vector<std::pair<NameId, Era>>& eras, peers::Outbox& out) {
   Packer packer(Kind::eras, Tier::site, {});
   for (const auto& [device, era] : eras) packer.add(device, era);
-  if (!packer.empty()) known_.send("eras", out, to, packer.bytes());
+  if (packer.empty()) return;
+  const auto bytes = packer.bytes();
+  era_budget_.spend(bytes.size());
+  known_.send("eras", out, to, bytes);
 }
 
-void Tiers::gossip(Micros, peers::Outbox& out) {
+void Tiers::gossip(Micros now, peers::Outbox& out) {
+  era_budget_.refill(now);
+  if (era_budget_.left() <= 0) return;
   std::vector<std::pair<NameId, Era>> eras;
   for (const auto device : gossip_.take(eras_of_parcel))
     if (const auto* era = known_.eras.find(device)) eras.emplace_back(device, *era);
@@ -175,7 +184,8 @@
   vote_budget_.refill(now);
   if (vote_budget_.left() <= 0) return;
   Level::Mail mail;
-  for (const auto key : device_.due(now, keys_at_once)) {
+  const auto room = static_cast<std::size_t>(vote_budget_.left()) / vote_bytes_about + 1;
+  for (const auto key : device_.due(now, std::min(keys_at_once, room))) {
     Line line{key, device_.weight(key), {}};
     for (const auto& holder : device_.holders(key))
       if (known_.eras.holds(holder.device, holder.era))
@@ -185,7 +195,7 @@
   site_.flush(mail, vote_budget_, out);
   if (now - uplifted_ < milliseconds(500)) return;
   uplifted_ = now;
-  uplift_.run(now, known_.options, site_, region_, vote_budget_, out);
+  uplift_.run(now, known_.options, known_.me, site_, region_, vote_budget_, out);
 }
 
 void Tiers::ask(Micros now, peers::Outbox& out) {
--- a/src/tiers/rider.h
+++ b/src/tiers/rider.h
@@ -52,7 +52,7 @@
   Level site_, region_;
   Uplift uplift_;
   Gossip gossip_;
-  Budget vote_budget_;
+  Budget vote_budget_, era_budget_;
   std::vector<std::string> members_;  // that are there, of all sites
   MapMaker::Devices devices_;
   std::shared_ptr<const Map> map_;
--- a/src/tiers/share/level.cpp
+++ b/src/tiers/share/level.cpp
@@ -12,7 +12,7 @@
 }  // namespace
 
 Level::Level(Known& known, Tier tier, std::size_t most_keys)
-    : known_(known), tier_(tier), homes_(known.names, tier), keeper_(known.names, most_keys), told_(most_keys),
+    : known_(known), tier_(tier), homes_(known.names, tier), keeper_(known.names, most_keys), board_(most_keys), told_(most_keys),
       push_(known.options.limits.push_bytes) {}
 
 std::vector<std::size_t> Level::viewed(const peers::View& view) {
--- a/src/tiers/snapshot/maker.cpp
+++ b/src/tiers/snapshot/maker.cpp
@@ -14,29 +14,33 @@
                                           const Told& region, std::uint64_t version, Micros now) {
   auto map = std::make_shared<Map>(known.names);
   map->version_ = version;
-  std::unordered_map<NameId, std::uint32_t> index;
+  struct At {
+    std::uint32_t node;
+    double share;
+  };
+  std::unordered_map<NameId, At> index;
   map->nodes_.reserve(devices.size());
   for (const auto& [id, device] : devices) {
-    index[id] = static_cast<std::uint32_t>(map->nodes_.size());
+    index[id] = {static_cast<std::uint32_t>(map->nodes_.size()), device.zone == known.options.site ? 1 : across};
     map->nodes_.push_back(device.name);
     if (const auto since = known.eras.void_since(id); since != Micros{}) map->lost_[device.name] = since;
   }
-  map->held_.reserve(site.size() + region.size());
-  const auto add = [&](KeyId key, const Told::Row& row) {
-    for (const auto& holder : row.holders) {
-      const auto at = index.find(holder.device);
-      if (at == index.end()) continue;
-      double sure = confidence(known, key, row, holder, now);
-      if (sure <= 0) continue;
-      if (devices.at(holder.device).zone != known.options.site) sure *= across;
-      auto& held = map->held_[key];
-      bool twice = false;  // the site has said it, and knows it better than the region
-      for (const auto& one : held) twice = twice || one.node == at->second;
-      if (!twice) held.push_back({at->second, static_cast<float>(holder.tokens), static_cast<float>(sure)});
-    }
+  // Shards are the keys' leading bits, so that the rows come in the order of keys.
+  const auto add = [&](const Told& told, std::vector<Map::Row>& rows) {
+    rows.reserve(told.size());
+    told.each([&](KeyId key, const Told::Row& row) {
+      Map::Row to{key, 0, {}};
+      for (const auto& holder : row.holders) {
+        const auto at = index.find(holder.device);
+        const double sure = at == index.end() ? 0 : confidence(known, key, row, holder, now);
+        if (sure <= 0) continue;
+        to.held[to.count++] = {at->second.node, static_cast<float>(holder.tokens), static_cast<float>(sure * at->second.share)};
+      }
+      if (to.count > 0) rows.push_back(to);
+    });
   };
-  site.each(add);
-  region.each(add);
+  add(site, map->held_[0]);
+  add(region, map->held_[1]);
   return map;
 }
 
--- a/src/tiers/snapshot/map.h
+++ b/src/tiers/snapshot/map.h
@@ -1,6 +1,7 @@
 // The map as the serving loop reads it: made on the peers' thread, never changed afterwards, bounded.
 #pragma once
 
+#include <array>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -24,14 +25,19 @@
   // them), so that a hot opening is read at no more devices than that.
   std::vector<KeptAt> kept(Key session, Key shared) const;
   Micros lost(const Node& node) const;  // the last loss that others told of it; 0: none
-  std::size_t keys() const { return held_.size(); }
+  std::size_t keys() const { return held_[0].size() + held_[1].size(); }
 
  private:
   friend class MapMaker;
   Names names_;
   std::uint64_t version_ = 0;
   std::vector<std::string> nodes_;
-  std::unordered_map<KeyId, std::vector<Held>> held_;
+  struct Row {
+    KeyId key = 0;
+    std::size_t count = 0;
+    std::array<Held, holders_bound> held;
+  };
+  std::array<std::vector<Row>, 2> held_;  // of each tier, by key
   std::unordered_map<std::string, Micros> lost_;
 };
 
--- a/src/tiers/store/board.cpp
+++ b/src/tiers/store/board.cpp
@@ -14,21 +14,34 @@
   const auto at = lines_.find(line.key);
   if (at == lines_.end() && line.holders.empty()) return;
   const auto key = line.key;
+  const bool goes = at != lines_.end() && !at->second.line.holders.empty() && line.holders.empty();
+  // Where more go than the budget lets be told, the others forget them with their lease.
+  if (goes && gone_ >= most_gone_) {
+    lines_.erase(at);
+    return;
+  }
+  if (goes) ++gone_;
+  if (at != lines_.end() && at->second.line.holders.empty() && !line.holders.empty()) --gone_;
   auto& entry = at == lines_.end() ? lines_[key] : at->second;
-  if (at == lines_.end() || differs(line.holders, entry.line.holders)) entry.waiting = true;
+  if (at == lines_.end() || differs(line.holders, entry.line.holders)) entry.waiting = true, entry.again = news_again;
   entry.line = std::move(line);
 }
 
 void Board::keep_only(const std::function<bool(KeyId)>& which) {
-  std::erase_if(lines_, [&](const auto& one) { return !which(one.first); });
+  std::erase_if(lines_, [&](const auto& one) {
+    if (which(one.first)) return false;
+    if (one.second.line.holders.empty()) --gone_;
+    return true;
+  });
 }
 
 std::vector<const Line*> Board::due(Micros now, Micros repeat, std::size_t most) const {
   std::vector<const Entry*> chosen;
   for (const auto& [key, entry] : lines_)
-    if (entry.waiting || now - entry.told >= repeat) chosen.push_back(&entry);
+    if (entry.waiting || now - entry.told >= (entry.again ? news_every : repeat)) chosen.push_back(&entry);
   const auto first = [](const Entry* a, const Entry* b) {
     if (a->waiting != b->waiting) return a->waiting;
+    if (!a->again != !b->again) return a->again > 0;
     if (!a->waiting && a->told != b->told) return a->told < b->told;
     return a->line.weight > b->line.weight;
   };
@@ -42,8 +55,10 @@
 void Board::told(KeyId key, Micros now) {
   const auto at = lines_.find(key);
   if (at == lines_.end()) return;
-  if (at->second.line.holders.empty()) {
+  if (!at->second.waiting && at->second.again) --at->second.again;
+  if (at->second.line.holders.empty() && at->second.again == 0) {
     lines_.erase(at);
+    --gone_;
     return;
   }
   at->second.waiting = false;
--- a/src/tiers/store/device.cpp
+++ b/src/tiers/store/device.cpp
@@ -56,7 +56,15 @@
 }
 
 void DeviceTier::changed(KeyId key, Entry& entry) {
-  if (!entry.waiting) line_.push_back(key);
+  entry.again = news_again;
+  if (entry.waiting) return;
+  // Keys may come faster than the budget lets them go: then the oldest wait for the sweep, as if said long ago.
+  if (line_.size() >= 2 * limits_.device_keys) {
+    const auto first = entries_.find(line_.front());
+    if (first != entries_.end()) first->second.waiting = false;
+    line_.pop_front();
+  }
+  line_.push_back(key);
   entry.waiting = true;
 }
 
@@ -73,7 +81,7 @@
     std::erase_if(entry.holders, [&](const Holder& one) { return one.seen < before || !holds(one.device, one.era); });
     if (entry.holders.size() != count) changed(key, entry);
     // Taken back, and that was said: nothing is left to keep.
-    if (entry.holders.empty() && !entry.waiting) {
+    if (entry.holders.empty() && !entry.waiting && entry.again == 0) {
       heavy_.erase(key);
       at = entries_.erase(at);
     } else {
@@ -94,11 +102,13 @@
     if (at != entries_.end() && at->second.waiting) take(at->first, at->second);
     line_.pop_front();
   }
-  if (keys.size() == most || now - swept_ < limits_.repeat / 10) return keys;
+  if (keys.size() == most || now - swept_ < news_every / 2) return keys;
   swept_ = now;
   for (auto& [key, entry] : entries_) {
     if (keys.size() >= most) break;
-    if (!entry.waiting && now - entry.told >= limits_.repeat) take(key, entry);
+    if (entry.waiting || now - entry.told < (entry.again ? news_every : limits_.repeat)) continue;
+    if (entry.again) --entry.again;
+    take(key, entry);
   }
   return keys;
 }
--- a/src/tiers/store/device.h
+++ b/src/tiers/store/device.h
@@ -37,6 +37,7 @@
     std::vector<Holder> holders;
     Micros told{};
     bool waiting = false;  // in line to be told
+    unsigned again = 0;    // it is news still
   };
   void changed(KeyId key, Entry& entry);
   Limits limits_;
--- /dev/null
+++ b/tests/tiers/merge_test.cpp
@@ -0,0 +1,190 @@
+// Merges, summaries and parcels: properties over random operations, each from a seed.
+#include <gtest/gtest.h>
+
+#include <random>
+
+#include "config/tiers.h"
+#include "peers/rider.h"
+#include "tiers/store/heavy.h"
+#include "tiers/store/keeper.h"
+#include "tiers/wire/parcel.h"
+
+namespace lemonroute::tiers {
+namespace {
+
+using Random = std::mt19937_64;
+
+Era era_of(Random& random) { return {random() % 3, (random() % 3) | (random() % 3) << 16 | (random() % 2) << 48}; }
+
+TEST(Eras, JoinIsASemilatticeAndALossIsLaterThanAllBefore) {
+  Random random(1);
+  for (int i = 0; i < 20000; ++i) {
+    const auto a = era_of(random), b = era_of(random), c = era_of(random);
+    EXPECT_EQ(join(a, b), join(b, a));
+    EXPECT_EQ(join(a, join(b, c)), join(join(a, b), c));
+    EXPECT_EQ(join(a, a), a);
+    EXPECT_TRUE(covers(lose(a, 2), a) && lose(a, 2) != a);
+    // Two sites apart, each noticing a loss: what either has seen since is void once they have met.
+    const auto met = join(lose(a, 0), lose(a, 1));
+    EXPECT_TRUE(met != lose(a, 0) && met != lose(a, 1));
+  }
+}
+
+Row::Entry entry_of(Random& random) {
+  const auto contributor = 1 + random() % 9;
+  Row::Entry entry{contributor * 7 % 10, contributor, {{random() % 2, random() % 4}, {}, static_cast<std::uint8_t>(random() % 3), Micros(random() % 50)}};
+  // One stamp says one thing, but for a liar's: there the content has an order of its own.
+  for (auto n = random() % 3; n > 0; --n)
+    entry.vote.holders.push_back({n, era_of(random), static_cast<std::uint32_t>(1 + random() % 3), 255, Micros(random() % 5)});
+  return entry;
+}
+
+TEST(Row, MergesToTheSameInAnyOrderGroupingAndRepetition) {
+  Random random(2);
+  for (int round = 0; round < 3000; ++round) {
+    std::vector<Row::Entry> all;
+    for (auto n = random() % 20; n > 0; --n) all.push_back(entry_of(random));
+    Row straight;
+    for (const auto& entry : all) straight.put(entry);
+    // Groups merged in a random order, some twice.
+    std::vector<Row> groups(1 + random() % 4);
+    for (const auto& entry : all) {
+      groups[random() % groups.size()].put(entry);
+      if (random() % 3 == 0) groups[random() % groups.size()].put(entry);
+    }
+    std::shuffle(groups.begin(), groups.end(), random);
+    Row merged;
+    for (const auto& group : groups) merged.merge(group);
+    merged.merge(groups.front());
+    ASSERT_TRUE(same(straight, merged)) << "round " << round;
+    EXPECT_LE(merged.entries().size(), Row::most);
+  }
+}
+
+TEST(Heavy, NeverMissesAHeavyKeyAndKnowsItsError) {
+  Random random(3);
+  Heavy heavy(32);
+  std::map<KeyId, double> truth;
+  double all = 0;
+  for (int i = 0; i < 20000; ++i) {
+    const KeyId key = random() % 3 ? random() % 8 : 100 + random() % 5000;
+    const double worth = 1 + static_cast<double>(random() % 5);
+    heavy.add(key, worth);
+    truth[key] += worth;
+    all += worth;
+  }
+  EXPECT_EQ(heavy.size(), 32u);
+  EXPECT_LE(heavy.error(), all / 32);
+  for (const auto& [key, worth] : truth) {
+    const auto count = heavy.count(key);
+    if (worth > all / 32) {
+      EXPECT_GE(count, worth) << key;
+    }
+    EXPECT_LE(count, worth + heavy.error() + 1e-6) << key;
+  }
+}
+
+TEST(Keeper, IsBoundedAndOneContributorHasAQuarter) {
+  const Names names(5);
+  Keeper keeper(names, 1024);
+  Random random(4);
+  const auto put = [&](KeyId key, NameId by, std::uint8_t weight, std::uint64_t number) {
+    keeper.put(key, by, Vote{{1, number}, {{1, {}, 100, 255, Micros(1)}}, weight, Micros(static_cast<long>(number))});
+  };
+  for (std::uint64_t i = 1; i <= 20000; ++i) put(random(), 666, 255, i);
+  EXPECT_LE(keeper.size(), 1024u / 4);
+  EXPECT_GT(keeper.counts().over_quota, 0u);
+  for (std::uint64_t i = 1; i <= 20000; ++i) put(random(), 1 + i % 50, 10, i);
+  EXPECT_LE(keeper.size(), 1024u);
+  std::size_t honest = 0;
+  keeper.each([&](KeyId, const Row& row) { honest += !row.has(666); });
+  EXPECT_GE(honest, 1024u / 2);
+  keeper.expire(Micros(100000));
+  EXPECT_EQ(keeper.size(), 0u);
+  put(1, 666, 1, 1);  // nothing is counted against it any more
+  EXPECT_EQ(keeper.size(), 1u);
+}
+
+TEST(Choose, OneContributorCannotOutbidTwoNorStretchALength) {
+  const Believed believed{[](NameId, const Era& era) { return era.start == 1; }, [](NameId) { return 0.5; }, Micros(10), std::chrono::seconds(60)};
+  const auto vote = [](NameId device, std::uint32_t tokens, std::uint64_t start = 1) {
+    return Vote{{1, 1}, {{device, {start, 0}, tokens, 255, Micros(10)}}, 1, Micros(10)};
+  };
+  Row row;
+  row.put({1, 1, vote(7, 1000)});
+  row.put({2, 2, vote(7, 1100)});
+  row.put({3, 3, vote(8, 1 << 24, 0)});  // of an era that is past
+  auto chosen = choose(row, {}, believed);
+  ASSERT_EQ(chosen.size(), 1u);
+  EXPECT_EQ(chosen[0].tokens, 1000u);
+  row.put({4, 4, vote(7, 1 << 24)});
+  EXPECT_EQ(choose(row, {}, believed)[0].tokens, 1100u);
+}
+
+TEST(Parcel, ReadsBackWhatWasPackedAndFits) {
+  Random random(6);
+  for (int round = 0; round < 300; ++round) {
+    const bool votes = random() % 2;
+    Packer packer(votes ? Kind::votes : Kind::rows, Tier::region, {random() >> 16, random()});
+    std::vector<Line> lines;
+    while (true) {
+      Line line{random(), static_cast<std::uint8_t>(random()), {}};
+      for (std::uint64_t n = random() % (votes ? 3 : 4), first = random() % 30; n > 0; --n)
+        line.holders.push_back({first + n, {first + n, random() % 2 ? ~0ull : 0}, static_cast<std::uint32_t>(1 + random() % (1 << 24)),
+                                static_cast<std::uint8_t>(random()), std::chrono::seconds(1000 - static_cast<long>(random() % 500)),
+                                votes ? 0 : random(), static_cast<std::uint8_t>(votes ? 0 : 1 + random() % 4)});
+      if (!packer.add(line, std::chrono::seconds(1000))) break;
+      lines.push_back(line);
+    }
+    const auto bytes = packer.bytes(random());
+    ASSERT_LE(bytes.size(), peers::Outbox::most);
+    EXPECT_GE(bytes.size(), votes ? 700u : 600u);  // the bound on its length is not wasteful
+    const char* why = "";
+    const auto parcel = read(bytes, std::chrono::seconds(1000), why);
+    ASSERT_TRUE(parcel) << why;
+    ASSERT_EQ(parcel->lines.size(), lines.size());
+    for (std::size_t i = 0; i < lines.size(); ++i) {
+      EXPECT_EQ(parcel->lines[i].key, lines[i].key);
+      ASSERT_EQ(parcel->lines[i].holders.size(), lines[i].holders.size());
+      for (std::size_t h = 0; h < lines[i].holders.size(); ++h) {
+        const auto &got = parcel->lines[i].holders[h], &put = lines[i].holders[h];
+        EXPECT_TRUE(got.device == put.device && got.tokens == put.tokens && got.by == put.by && got.votes == put.votes &&
+                    got.confidence == put.confidence && got.seen == put.seen);
+      }
+    }
+    // Whatever is made of it by accident is read whole or dropped.
+    auto broken = bytes;
+    for (int n = 0; n < 3; ++n) broken[random() % broken.size()] = static_cast<char>(random());
+    if (const auto still = read(broken, std::chrono::seconds(1000), why)) {
+      for (const auto& line : still->lines) EXPECT_LE(line.holders.size(), holders_bound);
+    }
+    read(std::string_view(bytes).substr(0, random() % bytes.size()), std::chrono::seconds(1000), why);
+  }
+}
+
+TEST(Config, TellsEachFaultByItsLine) {
+  const auto read = [](const std::string& text, std::vector<config::Fault>& faults) {
+    static toml::table table;
+    table = toml::parse(text);
+    config::Section file(table, "x.toml", "", faults);
+    return config::read_tiers(file);
+  };
+  std::vector<config::Fault> none;
+  EXPECT_FALSE(read("[log]\n", none));
+  const auto set = read("[tiers]\nsite_keys = 8192\nfade = \"2m\"\n", none);
+  ASSERT_TRUE(set);
+  EXPECT_TRUE(none.empty());
+  EXPECT_EQ(set->limits.site_keys, 8192u);
+  EXPECT_EQ(set->limits.fade, std::chrono::minutes(2));
+  EXPECT_EQ(set->line, 1u);
+  for (const std::string line : {"site_keys = 1", "device_keys = 1.5", "push_bytes = \"many\"", "fade = 60", "repeat = \"1s\"", "repeat = \"2m\"",
+                                 "cross_least = -1", "colour = \"red\"", "fade = \"6s\""}) {
+    std::vector<config::Fault> faults;
+    read("[tiers]\n" + line + "\n", faults);
+    ASSERT_EQ(faults.size(), 1u) << line;
+    EXPECT_EQ(faults[0].line, 2u) << faults[0].text();
+  }
+}
+
+}  // namespace
+}  // namespace lemonroute::tiers
