--- a/src/tiers/snapshot/map.h
+++ b/src/tiers/snapshot/map.h
@@ -12,7 +12,7 @@
 
 namespace lemonroute::tiers {
 
-class Map {
+class Map : public Guide {
  public:
   struct Held {
     std::uint32_t node = 0;  // index of `nodes`
@@ -23,8 +23,8 @@
   std::uint64_t version() const { return version_; }  // grows with each map that differs
   // Best first, most_hints at the most. A key's holders are the same few at all conductors of a site (holders_bound of
   // them), so that a hot opening is read at no more devices than that.
-  std::vector<KeptAt> kept(Key session, Key shared) const;
-  Micros lost(const Node& node) const;  // the last loss that others told of it; 0: none
+  std::vector<KeptAt> kept(Key session, Key shared) const override;
+  Micros lost(const Node& node) const override;  // the last loss that others told of it; 0: none
   std::size_t keys() const { return held_[0].size() + held_[1].size(); }
 
  private:
--- a/tests/tiers/model.cpp
+++ b/tests/tiers/model.cpp
@@ -81,9 +81,10 @@
   std::fflush(stdout);
 }
 
-// Reads of one opening over 24 conductors of a site and 40 devices, 60 s, 20 arrivals a second. The home by hash takes
-// it unless it is busy (each device is with a chance of 0.3); then each conductor chooses: by what it knows itself, by the
-// map, else at random. A read is whole where the opening is not kept; kept texts are pushed out after 8 s unused.
+// Reads of one opening over 24 conductors of a site and 40 devices, 60 s, 20 arrivals a second. Each device is busy with a
+// chance of 0.3. A conductor takes what it knows itself, then what the map says, else a device at random: homes by hash,
+// by which conductors agree without talking, are not in this model. A read is whole where the opening is not kept; kept
+// texts are pushed out after 8 s unused.
 void hot(const char* what, bool with_map, int liars, bool stale, std::uint64_t seed) {
   NetOptions options;
   options.conductors = 24;
