Rule 6: at most one region at a time sends to a pool

Pools that move between regions need a watch from the outside. A send by another region than the last one begins a turn, and each turn needs an ownership published at a newer epoch than the turn before; publications may be told up to 2 s late.

--- a/src/rules/monitor.cpp
+++ b/src/rules/monitor.cpp
@@ -25,6 +25,7 @@
     case Rule::drain: return "nothing new to a node that drains, is gone or out by hand";
     case Rule::cold: return "a cold node is not pushed over";
     case Rule::held: return "held state is used or freed";
+    case Rule::pool: return "one region at a time sends to a pool";
   }
   return "?";
 }
@@ -75,8 +76,9 @@
   live_.insert(request);
 }
 
-void Monitor::sent(Micros now, const std::string& request, const std::string& name, double tokens) {
+void Monitor::sent(Micros now, const std::string& request, const std::string& name, double tokens, const std::string& region) {
   now = move(now);
+  turns_.sent({now, request, name, region});
   const auto found = requests_.find(request);
   if (found == requests_.end())
     return breach(Rule::attempts, now, request, name, "an attempt was sent for a request that was never taken");
@@ -169,8 +171,15 @@
   if (const auto found = requests_.find(request); found != requests_.end()) found->second.holders.erase(node);
 }
 
+void Monitor::judge_turns(Micros up_to) {
+  turns_.judge(up_to, [this](const Turns::Turn& turn, const std::string& what) {
+    breach(Rule::pool, turn.at, turn.request, turn.node, what);
+  });
+}
+
 void Monitor::advance(Micros now) {
   now = move(now);
+  judge_turns(now - limits_.published);
   for (auto it = live_.begin(); it != live_.end();) {
     const std::string& name = *it;
     Watched& one = requests_.at(name);
@@ -189,6 +198,7 @@
 
 void Monitor::finish(Micros now) {
   advance(now);
+  judge_turns(now_);
   for (auto& [name, one] : requests_) {
     if (one.answers == 0 && !one.left && !std::exchange(one.late, true))
       breach(Rule::answer, now_, name, "", "it was never answered");
--- a/src/rules/monitor.h
+++ b/src/rules/monitor.h
@@ -1,4 +1,4 @@
-// Watches the five rules from the outside: told of what happens at the edges of a conductor (the list, clients,
+// Watches the rules from the outside: told of what happens at the edges of a conductor (the list, clients,
 // sends, answers, held state), it says which rule broke, when and for which request. It does no I/O, reads no clock
 // and knows neither the core nor the module, so that tests, expectations and emulators can all lean on it.
 #pragma once
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "lemonroute/scheduler.h"
+#include "rules/turns.h"
 
 namespace lemonroute::rules {
 
@@ -20,6 +21,7 @@
   drain = 3,     // no new work to a node after the grace that follows its drain, its going or its ban
   cold = 4,      // a cold node is not sent more than its budget
   held = 5,      // with no attempt out, held state is taken by a send or freed in time
+  pool = 6,      // at most one region sends to a pool at a time
 };
 const char* title(Rule rule);
 
@@ -40,6 +42,7 @@
   std::uint32_t siblings = 1;  // conductors that share a cold node's budget, 1 or more
   std::uint32_t most_attempts = 6;  // of a request, unless it is taken with fewer
   bool second_copies = false;  // two attempts out at once are allowed
+  Micros published = std::chrono::seconds(2);  // how late it may be told who owns a pool
 };
 
 // Times never go back between calls; a call with an earlier one counts as at the latest.
@@ -55,9 +58,17 @@
   void banned(Micros now, const std::string& node);  // from the yes to the operator on
   void unbanned(Micros now, const std::string& node);
 
+  // ---- pools, as their nodes are grouped and as conductors say who owns them ----
+  void pooled(const std::string& node, const std::string& pool) { turns_.belongs(node, pool); }
+  void owns(Micros now, const std::string& pool, const std::string& region, std::uint64_t epoch) {
+    move(now);
+    turns_.owns(pool, region, epoch);
+  }
+
   // ---- a request ----
   void taken(Micros now, const std::string& request, Micros deadline, std::uint32_t most_attempts);
-  void sent(Micros now, const std::string& request, const std::string& node, double tokens);
+  // `region`: of the conductor that sends, where pools are watched.
+  void sent(Micros now, const std::string& request, const std::string& node, double tokens, const std::string& region = {});
   void over(Micros now, const std::string& request, const std::string& node);  // its attempt there, however it ended
   void first(Micros now, const std::string& request);  // the client got the first event: the deadline stops
   void answered(Micros now, const std::string& request, const std::string& how);
@@ -94,6 +105,7 @@
   };
   void breach(Rule rule, Micros at, const std::string& request, const std::string& node, std::string what);
   void cold(Micros now, const std::string& request, const std::string& name, Node& node, double tokens);
+  void judge_turns(Micros up_to);
   Micros move(Micros now) { return now_ = std::max(now_, now); }
 
   Limits limits_;
@@ -101,6 +113,7 @@
   std::map<std::string, Node> nodes_;
   std::map<std::string, Watched> requests_;
   std::set<std::string> live_;  // of them, those for which time alone can break a rule
+  Turns turns_;
   std::vector<Breach> breaches_;
 };
 
--- a/tests/monitor_test.cpp
+++ b/tests/monitor_test.cpp
@@ -1,4 +1,4 @@
-// The monitor of the five rules: each broken in each way that it knows, and what is allowed left alone.
+// The monitor of the rules: each broken in each way that it knows, and what is allowed left alone.
 #include <gtest/gtest.h>
 
 #include "rules/monitor.h"
@@ -266,6 +266,48 @@
   EXPECT_EQ(broken(), "5");
 }
 
+// Sends of regions a and b to one pool, and what is published of its owner; each is told 100 ms after the last one.
+struct PoolCase {
+  const char* name;
+  std::vector<std::string> told;  // "a": a sends; "a=3": a owns it at epoch 3
+  std::string broken;
+};
+class PoolTurns : public Watch, public ::testing::WithParamInterface<PoolCase> {};
+TEST_P(PoolTurns, OneRegionAtATime) {
+  m.pooled("w", "p");
+  Micros at = 100s;
+  for (const auto& word : GetParam().told) {
+    at += 100ms;
+    if (word.size() > 1) m.owns(at, "p", word.substr(0, 1), std::stoull(word.substr(2)));
+    else m.sent(at, "q", "w", 1, word);
+    m.over(at, "q", "w");
+  }
+  m.advance(at);
+  EXPECT_EQ(m.breaches().size(), std::count_if(m.breaches().begin(), m.breaches().end(), [](auto& one) { return one.rule != Rule::pool; }))
+      << "what is published may yet come";
+  m.advance(at + 2s);
+  std::string turns;
+  for (const auto& one : m.breaches())
+    if (one.rule == Rule::pool) turns += one.what.substr(7, 1);
+  EXPECT_EQ(turns, GetParam().broken);
+}
+INSTANTIATE_TEST_SUITE_P(Cases, PoolTurns, ::testing::Values(
+    PoolCase{"Moves", {"a=1", "a", "a", "b=2", "b", "b"}, ""},
+    PoolCase{"MovesThereAndBack", {"a=1", "a", "b=2", "b", "a=3", "a"}, ""},
+    PoolCase{"ToldLate", {"a", "b", "a", "a=3", "b=2", "a=1"}, ""},
+    PoolCase{"SendsOnAfterTheMove", {"a=1", "a", "b=2", "b", "a", "a"}, "a"},
+    PoolCase{"BothInTurns", {"a=1", "a", "b=2", "b", "a", "b"}, "ab"},
+    PoolCase{"NeverOwned", {"a=1", "a", "b"}, "b"},
+    PoolCase{"OlderEpoch", {"a=5", "a", "b=4", "b"}, "b"},
+    PoolCase{"NobodySays", {"a"}, "a"}), [](auto& one) { return one.param.name; });
+TEST_F(Watch, SendsToNodesOfNoPoolAreNobodysTurn) {
+  m.sent(100s, "q", "w", 1, "a");
+  m.over(100s, "q", "w");
+  m.sent(101s, "q", "w", 1, "b");
+  m.advance(105s);
+  EXPECT_EQ(broken(), "");
+}
+
 TEST_F(Watch, TimeNeverGoesBack) {
   m.advance(105s);
   m.answered(90s, "q", "refused");
