--- a/tests/fleet/play/player.cpp
+++ b/tests/fleet/play/player.cpp
@@ -257,6 +257,7 @@
   for (auto& [name, member] : fleet_.members()) {
     if (member.process->state() == Process::State::none) continue;
     out_ << "  " << summary(name, known_[name]) << "\n" << member.process->tail(12);
+    if (options_.talks && known_[name].fleet.is_object()) out_ << "    " << known_[name].fleet.dump() << "\n";
   }
   std::size_t said = 0;
   for (const auto& breach : ledger_.breaches())
--- a/tests/fleet/scene/line.cpp
+++ b/tests/fleet/scene/line.cpp
@@ -82,7 +82,7 @@
   const double scale = word.ends_with("ms") ? 1e3 : word.ends_with("s") ? 1e6 : 0;
   if (scale == 0) fault("'" + word + "' is no span, as in 200ms or 3s");
   const double value = scale * number(word.substr(0, word.size() - (scale == 1e3 ? 2 : 1)), "span");
-  if (std::abs(value) > 3600e6) fault("'" + word + "' is more than an hour");
+  if (std::abs(value) > 86400e6) fault("'" + word + "' is more than a day");
   return Micros(static_cast<Micros::rep>(value));
 }
 
