--- a/tests/fleet/play/fleet.cpp
+++ b/tests/fleet/play/fleet.cpp
@@ -13,11 +13,12 @@
 namespace lemonroute::rig {
 namespace {
 
-// An address of loopback for each rig: several of them, and whatever else uses loopback, can't take each other's ports.
-std::string own_host() {
+// Addresses of loopback for each rig, one for its own sockets and one for its processes': several rigs, and whatever else
+// uses loopback, can't take each other's ports, and a port found free for a process stays free until it starts.
+std::string own_host(unsigned from) {
   const auto pid = static_cast<unsigned>(getpid());
   std::ostringstream text;
-  text << "127." << (64 + (pid >> 16) % 64) << '.' << (pid >> 8) % 256 << '.' << pid % 256;
+  text << "127." << (from + (pid >> 16) % 64) << '.' << (pid >> 8) % 256 << '.' << pid % 256;
   return text.str();
 }
 
@@ -42,7 +43,7 @@
 
 Fleet::Fleet(net::Loop& loop, const Clock& clock, const Scene& scene, const Options& options, Ledger& ledger, Cells& cells)
     : loop_(loop), clock_(clock), scene_(scene), options_(options), ledger_(ledger), folder_(options.keep),
-      host_(own_host()), links_(options.seed.value_or(scene.seed), scene.period) {
+      host_(own_host(64)), process_host_(own_host(128)), links_(options.seed.value_or(scene.seed), scene.period) {
   write_keys();
   for (const auto& line : scene.devices) {
     devices_[line.name] = std::make_unique<Device>(loop, cells, host_, line.name, line.reader);
@@ -80,9 +81,8 @@
 }
 
 std::string Fleet::free_address() {
-  // Bound both ways: a port is used for connections or for datagrams.
-  const net::Listener probe(loop_, host_ + ":0", [](evutil_socket_t fd) { evutil_closesocket(fd); });
-  return host_ + ":" + std::to_string(probe.port());
+  const net::Listener probe(loop_, process_host_ + ":0", [](evutil_socket_t fd) { evutil_closesocket(fd); });
+  return process_host_ + ":" + std::to_string(probe.port());
 }
 
 void Fleet::write_keys() {
--- a/tests/fleet/play/fleet.h
+++ b/tests/fleet/play/fleet.h
@@ -84,7 +84,7 @@
   const Options& options_;
   Ledger& ledger_;
   Folder folder_;
-  std::string host_;  // of 127.0.0.0/8, this rig's alone
+  std::string host_, process_host_;  // of 127.0.0.0/8, this rig's alone
   Links links_;
   Counts counts_;
   std::map<std::string, Member> members_;
