--- a/src/core/conductor/attempts.cpp
+++ b/src/core/conductor/attempts.cpp
@@ -100,8 +100,11 @@
   if (!witness_) return;
   const Micros now = clock_.now();
   const bool has_read = completed.outcome == Outcome::read || completed.outcome == Outcome::ok;
-  if (ended.role != Role::write && has_read)
+  if (ended.role != Role::write && has_read) {
+    // What was found there is told first: it is held against what was known until now.
+    witness_->found(node, entry.session, entry.shared, completed.note, now);
     witness_->kept(node, entry.session, entry.shared, entry.tokens, entry.shared_tokens, now);
+  }
   const auto& columns = settings_.report_columns;
   const auto held = std::find(columns.begin(), columns.end(), "x0");
   const auto at = static_cast<std::size_t>(held - columns.begin());
--- a/src/guide/fleet.h
+++ b/src/guide/fleet.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "guide/fleet_guide.h"
+#include "guide/guest.h"
 #include "guide/notes.h"
 #include "guide/siblings.h"
 #include "peers/service.h"
@@ -17,13 +18,6 @@
 
 namespace lemonroute::guide {
 
-// A rider with what it gives the serving loop and wants to hear from it.
-struct Guest {
-  std::unique_ptr<peers::Rider> rider;
-  Witness* witness = nullptr;                            // mostly the rider itself; null: hears nothing
-  std::function<std::shared_ptr<const Guide>()> guide;   // its newest; another pointer where it has changed
-};
-
 class Fleet final : peers::Service::Desk {
  public:
   struct Options {
--- /dev/null
+++ b/src/guide/guest.h
@@ -0,0 +1,88 @@
+// A rider with what it gives the serving loop and wants to hear from it. Riders know neither Guide nor Witness: what
+// their snapshot answers and what they hear is taken up by name.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <utility>
+#include <vector>
+
+#include "core/guide.h"
+#include "peers/rider.h"
+
+namespace lemonroute::guide {
+
+struct Guest {
+  std::unique_ptr<peers::Rider> rider;
+  std::unique_ptr<Witness> witness;                     // writes to the rider; null: it hears nothing
+  std::function<std::shared_ptr<const Guide>()> guide;  // its newest; another pointer where it has changed
+};
+
+// The Guide of a snapshot that has any of lay(node), kept(session, shared), lost(node).
+template <class Snapshot>
+class Says final : public Guide {
+ public:
+  explicit Says(std::shared_ptr<const Snapshot> of) : of_(std::move(of)) {}
+  Laid lay(const Node& node) const override {
+    if constexpr (requires(const Snapshot& s) { s.lay(node); }) return of_->lay(node);
+    else return {};
+  }
+  std::vector<KeptAt> kept(Key session, Key shared) const override {
+    if constexpr (requires(const Snapshot& s) { s.kept(session, shared); }) return of_->kept(session, shared);
+    else return {};
+  }
+  Micros lost(const Node& node) const override {
+    if constexpr (requires(const Snapshot& s) { s.lost(node); }) return of_->lost(node);
+    else return {};
+  }
+
+ private:
+  std::shared_ptr<const Snapshot> of_;
+};
+
+// The Witness for a rider that has any of its functions.
+template <class Rider>
+class Hears final : public Witness {
+ public:
+  explicit Hears(Rider& rider) : rider_(rider) {}
+  void kept(const Node& node, Key session, Key shared, double tokens, double shared_tokens, Micros now) override {
+    if constexpr (requires(Rider& r) { r.kept(node, session, shared, tokens, shared_tokens, now); })
+      rider_.kept(node, session, shared, tokens, shared_tokens, now);
+  }
+  void found(const Node& node, Key session, Key shared, double tokens, Micros now) override {
+    if constexpr (requires(Rider& r) { r.found(node, session, shared, tokens, now); })
+      rider_.found(node, session, shared, tokens, now);
+  }
+  void lost(const Node& node, Micros now) override {
+    if constexpr (requires(Rider& r) { r.lost(node, now); }) rider_.lost(node, now);
+  }
+  void listed(const std::vector<Node>& nodes, Micros now) override {
+    if constexpr (requires(Rider& r) { r.listed(nodes, now); }) rider_.listed(nodes, now);
+  }
+  void demand(const Demand& demand, Micros now) override {
+    if constexpr (requires(Rider& r) { r.demand(demand, now); }) rider_.demand(demand, now);
+  }
+
+ private:
+  Rider& rider_;
+};
+
+// `newest`: the snapshot of a rider, a std::shared_ptr<const Snapshot> that may be null.
+template <class Rider, class Newest>
+Guest guest_of(std::unique_ptr<Rider> rider, Newest newest) {
+  using Pointer = std::invoke_result_t<Newest, const Rider&>;
+  using Snapshot = std::remove_const_t<typename Pointer::element_type>;
+  Guest guest;
+  guest.witness = std::make_unique<Hears<Rider>>(*rider);
+  guest.guide = [&at = *rider, newest, last = Pointer{}, said = std::shared_ptr<const Guide>{}]() mutable {
+    if (auto now = newest(at); now != last) {
+      last = now;
+      said = now ? std::make_shared<const Says<Snapshot>>(std::move(now)) : nullptr;
+    }
+    return said;
+  };
+  guest.rider = std::move(rider);
+  return guest;
+}
+
+}  // namespace lemonroute::guide
--- a/src/guide/notes.cpp
+++ b/src/guide/notes.cpp
@@ -30,6 +30,9 @@
 void Notes::kept(const Node& node, Key session, Key shared, double tokens, double shared_tokens, Micros now) {
   write({Note::kept, node.id, session, shared, tokens, shared_tokens, now, nullptr, {}});
 }
+void Notes::found(const Node& node, Key session, Key shared, double tokens, Micros now) {
+  write({Note::found, node.id, session, shared, tokens, 0, now, nullptr, {}});
+}
 void Notes::lost(const Node& node, Micros now) { urgent({Note::lost, node.id, 0, 0, 0, 0, now, nullptr, {}}); }
 void Notes::listed(const std::vector<Node>& nodes, Micros now) {
   urgent({Note::listed, 0, 0, 0, 0, 0, now, std::make_shared<const std::vector<Node>>(nodes), {}});
@@ -54,6 +57,9 @@
         case Note::kept:
           if (node) witness->kept(*node, note.session, note.shared, note.tokens, note.shared_tokens, note.now);
           break;
+        case Note::found:
+          if (node) witness->found(*node, note.session, note.shared, note.tokens, note.now);
+          break;
         case Note::lost:
           if (node) witness->lost(*node, note.now);
           break;
--- a/src/guide/notes.h
+++ b/src/guide/notes.h
@@ -15,7 +15,7 @@
 namespace lemonroute::guide {
 
 struct Note {
-  enum Kind : std::uint8_t { kept, lost, listed, demand } kind = kept;
+  enum Kind : std::uint8_t { kept, found, lost, listed, demand } kind = kept;
   HostId host = 0;
   Key session = 0, shared = 0;
   double tokens = 0, shared_tokens = 0;
@@ -33,6 +33,7 @@
 
   // ---- on the serving loop ----
   void kept(const Node& node, Key session, Key shared, double tokens, double shared_tokens, Micros now) override;
+  void found(const Node& node, Key session, Key shared, double tokens, Micros now) override;
   void lost(const Node& node, Micros now) override;
   void listed(const std::vector<Node>& nodes, Micros now) override;
   void demand(const Demand& demand, Micros now) override;
--- a/tests/guide/fleet_test.cpp
+++ b/tests/guide/fleet_test.cpp
@@ -120,9 +120,9 @@
 }
 
 // A rider that hears of nodes and says of each that it is away once a loss was told of it.
-struct Talker : peers::Rider, Witness {
-  struct Away : Guide {
-    Laid lay(const Node&) const override { return {true, Micros(0), Micros::max()}; }
+struct Talker : peers::Rider {
+  struct Away {
+    Guide::Laid lay(const Node&) const { return {true, Micros(0), Micros::max()}; }
   };
   peers::Topic topic() const override { return peers::Topic::tiers; }
   void viewed(Micros, const peers::View& view) override {
@@ -138,23 +138,17 @@
   }
   Micros next_due() const override { return due; }
   nlohmann::json describe(Micros) const override { return nlohmann::json::object(); }
-  void kept(const Node&, Key, Key, double, double, Micros) override {}
-  void lost(const Node&, Micros) override { told = true; }
-  void listed(const std::vector<Node>&, Micros) override {}
-  void demand(const Demand&, Micros) override {}
+  void lost(const Node&, Micros) { told = true; }
   std::string other;
-  std::shared_ptr<const Guide> guide;
+  std::shared_ptr<const Away> guide;
   bool told = false;
   Micros due{};
 };
 
 TEST_F(World, what_one_sees_of_a_node_guides_the_other) {
   const auto guest = [] {
-    auto rider = std::make_unique<Talker>();
-    std::vector<Guest> guests(1);
-    guests[0].witness = rider.get();
-    guests[0].guide = [at = rider.get()] { return at->guide; };
-    guests[0].rider = std::move(rider);
+    std::vector<Guest> guests;
+    guests.push_back(guest_of(std::make_unique<Talker>(), [](const Talker& at) { return at.guide; }));
     return guests;
   };
   std::shared_ptr<const Guide> newest;
@@ -171,14 +165,12 @@
 }
 
 struct Broken : Talker {
-  void lost(const Node&, Micros) override { throw std::runtime_error("a slip"); }
+  void lost(const Node&, Micros) { throw std::runtime_error("a slip"); }
 };
 
 TEST_F(World, a_fault_on_the_thread_of_the_peers_ends_them_and_not_what_serves) {
-  auto rider = std::make_unique<Broken>();
-  std::vector<Guest> guests(1);
-  guests[0].witness = rider.get();
-  guests[0].rider = std::move(rider);
+  std::vector<Guest> guests;
+  guests.push_back(guest_of(std::make_unique<Broken>(), [](const Broken& at) { return at.guide; }));
   Conductor one(loop, clock, "one", {}, keys, std::move(guests)), two(loop, clock, "two", {one.fleet.address()}, keys);
   ASSERT_TRUE(comes([&] { return one.siblings == 2 && two.there() == 2; }));
   Node node;
