Hand the usual read rates and what is sent to each node to the process that takes over

Of n0's 187 refusals between 14 s and 26 s of its log all name the reader's wait, 1 to 3.5 s, with the writers' load at 0.2 to 0.7 of 0.5 to 0.9. They begin 1.5 s after its second hand-over (12.87 s), while the readers are short of one and two are cold: the first reads take 0.4 to 2.2 s, which the new process takes for the readers' rate. It then sends next to nothing (0 to 3 a node in 2 s, the other conductor 5 to 12), so it hears and learns next to nothing, for some ten seconds.

Change: Scheduler::lessons and believe, in the module: the usual read rate of each role stands before the first reads, and what was sent to each host counts for the room of cold ones. They travel with the old process's reports.

--- a/include/lemonroute/scheduler.h
+++ b/include/lemonroute/scheduler.h
@@ -224,6 +224,12 @@
   std::vector<Candidate> candidates{};
 };
 
+// What one dispatcher has learned that holds for its successor as well, by role and by host.
+struct Lessons {
+  std::vector<std::pair<Role, double>> read_rates;  // the usual, microseconds a token
+  std::vector<std::pair<HostId, double>> sent;      // tokens a microsecond that it sends there
+};
+
 // One dispatcher. Time never goes back between calls; the same calls give the same actions.
 class Scheduler {
  public:
@@ -235,6 +241,8 @@
   void retune(Settings settings);  // what was learned stays; requests under way keep the terms they began with
   // From now on `to` hears of each choice, before the action that comes of it. An empty one ends that.
   void explain(std::function<void(const Choice&)> to);
+  Lessons lessons(Micros now) const;
+  void believe(Micros now, const Lessons& lessons);  // of another dispatcher; what was learned here counts more
   std::vector<HostId> avoided(Micros now) const;  // listed hosts that are left out by choice
 
  private:
--- a/src/cli/program.cpp
+++ b/src/cli/program.cpp
@@ -159,7 +159,7 @@
     if (platform.socket)
       handover_ = std::make_unique<ops::Handover>(loop_, processes_.file(".streams"),
                                                   [this](const Passing& stream) { front_.adopt(stream); },
-                                                  [this](const std::vector<Heard>& heard) { conductor_.believe(heard); });
+                                                  [this](const News& news) { conductor_.believe(news); });
     processes_.serves(true);
   }
   ~Parts() {
@@ -213,7 +213,7 @@
     if (grpc_) grpc_->server.stop_accepting();
     agent_.reset();
     conductor_.end_waits(clock_.now() + last_wait());
-    ops::Handover::tell(processes_.file(".streams"), conductor_.heard());
+    ops::Handover::tell(processes_.file(".streams"), conductor_.news());
     pass_streams();
   }
   Micros last_wait() const {
--- a/src/core/conductor.h
+++ b/src/core/conductor.h
@@ -64,8 +64,8 @@
   // Gives away streams that stand between two events, each once `give` has sent it; the others stay.
   void pass_streams(const std::function<bool(const Passing&)>& give);
   bool adopt(const Passing& stream, Client& client, RequestId& id);  // goes on with one that was given
-  std::vector<Heard> heard() const;             // of ready nodes, where there is something to tell
-  void believe(const std::vector<Heard>& heard);  // as if it had been heard here
+  News news() const;                // of ready nodes, where there is something to tell
+  void believe(const News& news);  // what another process told
   // The process is ended soon after `at`: no request waits for its first event longer, one taken later included.
   void end_waits(Micros at);
 
--- a/src/core/conductor/heard.cpp
+++ b/src/core/conductor/heard.cpp
@@ -13,10 +13,13 @@
 
 }  // namespace
 
-std::vector<Heard> Conductor::heard() const {
-  std::vector<Heard> all;
+News Conductor::news() const {
+  News news;
   const Micros now = clock_.now();
   const auto avoided = scheduler_.avoided(now);
+  auto lessons = scheduler_.lessons(now);
+  news.read_rates = std::move(lessons.read_rates);
+  const std::map<HostId, double> sent(lessons.sent.begin(), lessons.sent.end());
   for (const auto& [id, node] : known_) {
     if (!node.ready()) continue;
     Heard one{node.name, {}, {}, std::find(avoided.begin(), avoided.end(), id) != avoided.end()};
@@ -25,30 +28,36 @@
       one.load = node.load;
       one.age = now - node.load_at;
     }
-    if (one.avoided || !one.load.empty()) all.push_back(std::move(one));
+    if (const auto found = sent.find(id); found != sent.end()) one.sent = found->second;
+    if (one.avoided || !one.load.empty() || one.sent > 0) news.nodes.push_back(std::move(one));
   }
-  return all;
+  return news;
 }
 
-// It may be a little old, or of a node that is no longer listed as it was, and is only told to the module like the
-// outcome of one probe: what the nodes themselves say next outweighs it.
-void Conductor::believe(const std::vector<Heard>& heard) {
-  std::size_t taken = 0;
-  for (const auto& one : heard) {
+// It may be a little old, or of a node that is no longer listed as it was. Reports are told to the module like the
+// outcome of one probe: what the nodes themselves say next outweighs them.
+void Conductor::believe(const News& news) {
+  Lessons lessons{news.read_rates, {}};
+  std::size_t reports = 0;
+  for (const auto& one : news.nodes) {
     const auto known = ids_.find(one.node);
-    if (known == ids_.end() || one.age < Micros(0) || one.age > report_counts) continue;
+    if (known == ids_.end()) continue;
     Node& node = known_[known->second];
+    if (!node.ready()) continue;
+    if (one.sent > 0) lessons.sent.emplace_back(node.id, one.sent);
     const Micros at = clock_.now() - one.age;
-    if (!node.ready() || at <= std::max(node.entry.started, node.load_at)) continue;
+    const bool counts = one.age >= Micros(0) && one.age <= report_counts && at > std::max(node.entry.started, node.load_at);
+    if (!counts || (one.load.empty() && !one.avoided)) continue;
     if (!one.load.empty()) {
       node.load = one.load;
       node.load_at = at;
     }
-    ++taken;
+    ++reports;
     put(HealthResult{node.id, one.avoided ? Outcome::error : Outcome::ok, Micros(0),
                      parse_load(one.load, settings_.report_columns)});
   }
-  logging::info() << "the other process told of " << taken << " nodes";
+  scheduler_.believe(clock_.now(), lessons);
+  logging::info() << "the other process told of " << news.nodes.size() << " nodes, " << reports << " counted";
 }
 
 }  // namespace lemonroute
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "lemonroute/scheduler.h"
@@ -85,6 +86,11 @@
   std::string load;  // its last report, as the node worded it
   Micros age{};      // of that report
   bool avoided = false;  // left out by choice, since attempts fail there
+  double sent = 0;       // tokens a microsecond that are sent there, 0 = unknown
+};
+struct News {
+  std::vector<Heard> nodes;
+  std::vector<std::pair<Role, double>> read_rates;  // as in Lessons
 };
 
 // Where the answer to one request goes. Exactly one of finish, refuse, fail and cut ends it, and none of
--- a/src/module/decide.cpp
+++ b/src/module/decide.cpp
@@ -943,6 +943,28 @@
 void Scheduler::explain(std::function<void(const Choice&)> to) { core_->told_to = std::move(to); }
 void Scheduler::retune(Settings settings) { core_->take(std::move(settings)); }
 
+Lessons Scheduler::lessons(Micros now) const {
+  Lessons all;
+  for (const auto& one : core_->usual_rate) all.read_rates.push_back(one);
+  for (const auto& [id, host] : core_->hosts)
+    if (host.listed && host.work_rate.known)
+      all.sent.emplace_back(id, host.work_rate.value * host.work_rate.fresh(now, core_->fade));
+  return all;
+}
+// Danger: a process that takes over in a jam takes the waits of its first reads for their rate, and refuses all.
+void Scheduler::believe(Micros now, const Lessons& lessons) {
+  for (const auto& [role, rate] : lessons.read_rates) {
+    auto& recent = core_->recent_rates[role];
+    if (!std::isfinite(rate) || rate <= 0 || recent.size() >= few_reads) continue;
+    recent.insert(recent.begin(), 2 * few_reads, rate);
+    core_->usual_rate[role] = rate;
+    core_->any_rate.add(rate, now, 1);
+  }
+  for (const auto& [id, rate] : lessons.sent)
+    if (const auto host = core_->hosts.find(id); host != core_->hosts.end() && std::isfinite(rate) && rate > 0)
+      if (host->second.sent.empty()) host->second.work_rate.add(rate, now, 1);
+}
+
 std::vector<HostId> Scheduler::avoided(Micros now) const {
   std::vector<HostId> ids;
   core_->now = std::max(core_->now, now);
--- a/src/ops/handover.cpp
+++ b/src/ops/handover.cpp
@@ -18,7 +18,6 @@
 namespace {
 
 constexpr std::size_t most_text = 4096;
-const std::string heard_begins = R"({"heard":[)", heard_ends = "]}";
 using Descriptors = std::array<int, 2>;  // the client's and the node's
 
 bool address_of(const std::string& path, sockaddr_un& address) {
@@ -100,16 +99,19 @@
   return post(path, text_of(all), &both);
 }
 
-void Handover::tell(const std::string& path, const std::vector<Heard>& heard) {
+void Handover::tell(const std::string& path, const News& news) {
+  auto rates = nlohmann::json::array();
+  for (const auto& [role, rate] : news.read_rates) rates.push_back({static_cast<int>(role), rate});
+  const std::string begins = R"({"read_rates":)" + text_of(rates) + R"(,"nodes":[)", ends = "]}";
   std::string list;
   const auto flush = [&] {
-    if (!list.empty()) post(path, heard_begins + list + heard_ends, nullptr);
+    post(path, begins + list + ends, nullptr);
     list.clear();
   };
-  for (const auto& one : heard) {
-    const std::string text =
-        text_of({{"node", one.node}, {"load", one.load}, {"age_us", one.age.count()}, {"avoided", one.avoided}});
-    if (heard_begins.size() + list.size() + 1 + text.size() + heard_ends.size() > most_text) flush();
+  for (const auto& one : news.nodes) {
+    const std::string text = text_of({{"node", one.node}, {"load", one.load}, {"age_us", one.age.count()},
+                                      {"avoided", one.avoided}, {"sent", one.sent}});
+    if (begins.size() + list.size() + 1 + text.size() + ends.size() > most_text && !list.empty()) flush();
     list += (list.empty() ? "" : ",") + text;
   }
   flush();
@@ -127,13 +129,16 @@
     std::memcpy(both.data(), CMSG_DATA(control), std::min(control->cmsg_len - CMSG_LEN(0), sizeof both));
   try {
     const auto all = nlohmann::json::parse(std::string_view(text, static_cast<std::size_t>(size)));
-    if (const auto heard = all.find("heard"); heard != all.end()) {
-      std::vector<Heard> list;
-      for (const auto& one : *heard)
-        list.push_back({one.at("node"), one.at("load"), Micros(one.at("age_us").get<Micros::rep>()), one.at("avoided")});
+    if (const auto nodes = all.find("nodes"); nodes != all.end()) {
+      News news;
+      for (const auto& one : all.at("read_rates"))
+        news.read_rates.emplace_back(static_cast<Role>(one.at(0).get<int>()), one.at(1).get<double>());
+      for (const auto& one : *nodes)
+        news.nodes.push_back({one.at("node"), one.at("load"), Micros(one.at("age_us").get<Micros::rep>()),
+                              one.at("avoided"), one.at("sent")});
       for (int& fd : both)  // such a message brings none; whatever came along is closed, once
         if (fd >= 0) close(std::exchange(fd, -1));
-      return told_(list);
+      return told_(news);
     }
     if (both[1] < 0) throw std::runtime_error("it brings no connections");
     Passing stream{all.at("id"), all.at("kind"), all.at("node"), all.at("attempt"), {}, {}};
--- a/src/ops/handover.h
+++ b/src/ops/handover.h
@@ -14,7 +14,7 @@
 class Handover {
  public:
   using Taken = std::function<void(const Passing&)>;  // the descriptors are the receiver's from then on
-  using Told = std::function<void(const std::vector<Heard>&)>;
+  using Told = std::function<void(const News&)>;
   Handover(net::Loop& loop, const std::string& path, Taken taken, Told told);
   ~Handover();
   Handover(const Handover&) = delete;
@@ -23,7 +23,7 @@
   // Sends a stream to whoever receives at `path`; false: nobody does, or not now. Its descriptors stay open here.
   static bool send(const std::string& path, const Passing& stream);
   // Tells what is known of the nodes, in as many messages as it takes; what can't be sent is left out.
-  static void tell(const std::string& path, const std::vector<Heard>& heard);
+  static void tell(const std::string& path, const News& news);
 
  private:
   void receive();
