--- a/src/module/decide.cpp
+++ b/src/module/decide.cpp
@@ -951,7 +951,7 @@
       all.sent.emplace_back(id, host.work_rate.value * host.work_rate.fresh(now, core_->fade));
   return all;
 }
-// Danger: a process that takes over in a jam takes the waits of its first reads for their rate, and refuses all.
+// Danger: a process that takes over in a jam takes its first reads' waits for their rate, and refuses all.
 void Scheduler::believe(Micros now, const Lessons& lessons) {
   for (const auto& [role, rate] : lessons.read_rates) {
     auto& recent = core_->recent_rates[role];
@@ -961,7 +961,8 @@
     core_->any_rate.add(rate, now, 1);
   }
   for (const auto& [id, rate] : lessons.sent)
-    if (const auto host = core_->hosts.find(id); host != core_->hosts.end() && std::isfinite(rate) && rate > 0)
+    const auto host = core_->hosts.find(id);
+    if (host != core_->hosts.end() && std::isfinite(rate) && rate > 0)
       if (host->second.sent.empty()) host->second.work_rate.add(rate, now, 1);
 }
 
