--- a/src/module/decide.cpp
+++ b/src/module/decide.cpp
@@ -960,10 +960,11 @@
     core_->usual_rate[role] = rate;
     core_->any_rate.add(rate, now, 1);
   }
-  for (const auto& [id, rate] : lessons.sent)
+  for (const auto& [id, rate] : lessons.sent) {
     const auto host = core_->hosts.find(id);
-    if (host != core_->hosts.end() && std::isfinite(rate) && rate > 0)
-      if (host->second.sent.empty()) host->second.work_rate.add(rate, now, 1);
+    if (host == core_->hosts.end() || !std::isfinite(rate) || rate <= 0) continue;
+    if (host->second.sent.empty()) host->second.work_rate.add(rate, now, 1);
+  }
 }
 
 std::vector<HostId> Scheduler::avoided(Micros now) const {
