--- a/src/pools/rights/holder/holder.cpp
+++ b/src/pools/rights/holder/holder.cpp
@@ -36,7 +36,7 @@
     if (grant.ballot == owned_.ballot && grant.until > now) until.push_back(grant.until);
   if (!majority(until.size())) return std::nullopt;
   std::sort(until.rbegin(), until.rend());
-  return Right{until[grants_.size() / 2], owned_.ballot.counter > 0 ? started_ : Micros(0)};
+  return Right{until[std::min(until.size() - 1, grants_.size() / 2)], owned_.ballot.counter > 0 ? started_ : Micros(0)};
 }
 
 bool Holder::held_by_owner(Micros now) const {
