The module as a folder of small files, one decision each

Need: src/module/decide.cpp held every decision in one class of 986 lines; a mend to one had to be read against all.

Change: one state (state.h), and a file for each decision as free functions on it; the includes are the dependencies, and they have no cycle. Names in the code follow the field as it moved: prefill and decode for the two stages, outlier ejection, slow start, prefix cache, admission. Log lines, the public header and the settings keep theirs.

Tests: the twins with one rule or guard turned wrong are made from the new files. A header's twin is compiled with a copy of its folder. Stricter than before: configuring fails unless the text is found exactly once, not only when it is missing (tried with one changed and one doubled). The twin `terms` put the terms of now in place of a request's own at each look; there is no such function any more, so it gives requests under way the new terms when settings are replaced, and the same case notices.

--- a/include/lemonroute/scheduler.h
+++ b/include/lemonroute/scheduler.h
@@ -1,5 +1,5 @@
 // The whole interface of the decision module: settings, events, actions, and the Scheduler that
-// turns the ones into the others. It holds no decision; those are all in src/module/decide.cpp.
+// turns the ones into the others. It holds no decision; those are all in src/module, one a file.
 #pragma once
 
 #include <chrono>
--- /dev/null
+++ b/src/module/pool_norms.h
@@ -0,0 +1,48 @@
+// What is usual among the nodes of a role, worked out at most once an event, before its first choice.
+#pragma once
+
+#include "decode_load.h"
+#include "prefill_wait.h"
+#include "slow_start.h"
+
+namespace lemonroute::decisions {
+
+inline void survey(State& s) {
+  if (s.surveyed) return;
+  s.surveyed = true;
+  const auto& classes = s.settings.classes;  // what they aim at only ranks nodes while nothing is learned
+  const double aim = classes.empty() ? 1 : std::max(1.0, us(classes[0].aim_per_1000_tokens) / 1000);
+  for (const Role role : {Role::read, Role::write, Role::both}) {
+    Pool& p = s.pools[role] = Pool{};
+    Mean others, own, queued_root, warm_work;
+    for (const auto& [id, node] : s.nodes) {
+      if (!node.listed() || node.role != role) continue;
+      p.nodes += 1;
+      p.ejected += failure_share(s, node) >= eject_at;
+      others.add(node.others.value, node.others.trust(s.now, s.fade));
+      own.add(own_share(s, node));
+      queued_root.add(std::sqrt(node.others_queued.value), node.others_queued.trust(s.now, s.fade));
+      if (!cold(s, node)) warm_work.add(node.work_rate.value * node.work_rate.fresh(s.now, s.fade));
+    }
+    const double* usual = lookup(s.usual_rate, role);
+    p.rate = usual ? *usual : s.any_rate.known ? s.any_rate.value : aim;
+    p.others = s.reported ? others.value() : (s.settings.siblings - 1) * own.value();
+    // The mean of roots, so that one jammed prefill node does not stand for all.
+    const Learned& inferred = s.inferred[role];
+    const double alike = std::max(0.0, inferred.value * inferred.fresh(s.now, s.fade));
+    p.queued = std::pow(queued_root.value(), 2) + alike;
+    p.warm_work = warm_work.value();
+    // Danger: the last warm prefill node drains while its successors are cold. With no warm load to go by
+    // they would get next to nothing; the rate learned from prefills tells what a node can do.
+    if (warm_work.total <= 0 && role == Role::read && usual)
+      p.warm_work = 1 / std::max(0.1, *usual) / s.settings.siblings;
+  }
+  for (const Role role : {Role::read, Role::both}) {
+    Mean waits;
+    for (const auto& [id, node] : s.nodes)
+      if (node.listed() && node.role == role) waits.add(prefill_wait(s, node));
+    s.pools[role].wait = waits.value();
+  }
+}
+
+}  // namespace lemonroute::decisions
