An attempt's time-out allows for a prefill without its match

The time-out was a third of the aim, or 2.5 times an estimate that credits the prefix kept at a home by hash; a read with nothing kept takes 0.74 s at these machines. Each read called off began anew at another reader, so that all became late together once kept texts were gone. Change: the time-out is at least 2.5 times the wait plus the whole prompt's read time. Ruled out: refusals, at most 8 in 100 of a window, and the writers' queue.

--- a/src/module/attempts.h
+++ b/src/module/attempts.h
@@ -36,7 +36,10 @@
   a.others = a.prefill ? std::max(0.0, a.ahead - own_queued(s, node, rate)) : 0;
   a.credit = a.prefill ? pick.known : 0;
   a.tokens = std::max(0.0, job.prompt - (a.prefill ? pick.credit : 0));
-  a.timeout = std::max({timeout_factor * expect, job.aim / 3, us(s.settings.tick)});
+  // Danger: a prefix that is not kept any more makes a prefill many times longer; that is no sign of a bad
+  // node, and a cancelled prefill is done again elsewhere, from the start: all become late together.
+  const double unmatched = a.prefill ? pick.wait + job.prompt * rate : 0;
+  a.timeout = std::max({timeout_factor * std::max(expect, unmatched), job.aim / 3, us(s.settings.tick)});
   job.attempts.push_back(a);
   const auto index = static_cast<std::uint16_t>(job.attempts.size() - 1);
   node.out.push_back({job.request.id, index});
