Lists come within half the drain grace of discovery's return, silence shows in 1 s

Worked out by hand, the old figures gave up to 0.6 s after an outage's end (a call of 0.5 s that met it, 0.1 s of rest) against a grace of 0.5 s, which may be 0.25 s; 2.1 s after a watch fell silent; the same instant for all conductors of a fleet. Changes up to a version below the one held (discovery was started anew) were laid over the held list, and what had happened before them was never told.

Pushed: calls for the whole list are half a grace apart at the most (100 to 250 ms) while none is answered, without back-off; a watch waits 0.5 s and is broken 0.15 to 0.35 s later. Asked for: waits of 2 s, rests that double up to 1.5 s, and after a break only the missed changes are asked for.

Each of these turned wrong makes tests fail: the check for counting back (4 tests), 0.5 s for the whole list, no drawing, back-off to 8 s, the old wait of 1 s, no rest after an early answer. Not changed: the core takes nothing of the grace for itself, so none of it was spent there.

--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -1,7 +1,6 @@
 #include "discovery/watch.h"
 
 #include "base/log.h"
-#include "discovery/list.h"
 
 namespace lemonroute::discovery {
 namespace {
@@ -10,27 +9,31 @@
 
 }  // namespace
 
-Watch::Watch(net::Loop& loop, std::string address, Conductor& conductor)
+Watch::Watch(net::Loop& loop, std::string address, Conductor& conductor, Cadence cadence)
     : address_(std::move(address)),
       conductor_(conductor),
       client_(loop, {}),
       again_(loop, [this] { ask(); }),
       overdue_(loop, [this] { broken("no answer"); }),
-      whole_(loop, [this] { broken("an answer without an end"); }) {}
+      whole_(loop, [this] { broken("an answer without an end"); }),
+      cadence_(std::move(cadence)) {}
 
-// What the old address knew may be numbered otherwise at the new one, so nothing of it is built on.
+// What the old address knew may be numbered otherwise at the new one, so nothing of it is built on. A whole fleet is
+// told of the new address at once, and does not call there at once.
 void Watch::move(std::string address) {
+  overdue_.stop();
+  whole_.stop();
+  exchange_.reset();
   client_.hang_up(address_);
   address_ = std::move(address);
-  cadence_.failed();
-  again_.stop();
-  ask();
+  again_.start(cadence_.moved());
 }
 
 void Watch::ask() {
   text_.clear();
   status_ = 0;
   const Cadence::Call call = cadence_.next();
+  asked_ = std::chrono::steady_clock::now();
   overdue_.start(call.first);
   whole_.start(call.whole);
   exchange_ =
@@ -47,40 +50,36 @@
   overdue_.stop();
   whole_.stop();
   exchange_.reset();
-  if (how != http::Ending::whole) return failed("the connection failed");
-  if (status_ != 200) return failed("status " + std::to_string(status_));
+  if (how != http::Ending::whole) return failed("the connection failed", Cadence::Fault::no_answer);
   try {
     take();
   } catch (const ListError& error) {
-    return failed(error.what());
+    return failed(error.what(), Cadence::Fault::bad_answer);
   }
-  if (!well_) logging::info() << "discovery answers again";
-  well_ = true;
-  ask();
 }
 
 void Watch::take() {
-  const NodeList list = parse_list_text(text_);
-  const bool whole = list.whole || !cadence_.has_list();
-  cadence_.answered(list.version);
-  if (whole || !list.nodes.empty())
-    conductor_.update(whole ? ListKind::full : ListKind::delta, list.version, list.nodes);
+  const auto took = std::chrono::duration_cast<Micros>(std::chrono::steady_clock::now() - asked_);
+  const Cadence::Answer answer = cadence_.take(status_, text_, took);
+  if (!well_) logging::info() << "discovery answers again";
+  well_ = heard_ = true;
+  if (answer.kind) conductor_.update(*answer.kind, answer.list.version, answer.list.nodes);
+  if (answer.rest > Micros(0)) again_.start(answer.rest);
+  else ask();
 }
 
-// The last list stays in use. The whole new one is asked for, since that call does not wait: whether discovery
-// is back shows at once, and not after another wait.
-void Watch::failed(std::string_view why) {
+// The last list stays in use.
+void Watch::failed(std::string_view why, Cadence::Fault fault) {
   if (well_) logging::warn() << "discovery fails: " << why;
   well_ = false;
-  cadence_.failed();
-  again_.start(Cadence::again);
+  again_.start(cadence_.failed(fault));
 }
 
 void Watch::broken(std::string_view why) {
   overdue_.stop();
   whole_.stop();
   exchange_.reset();
-  failed(why);
+  failed(why, Cadence::Fault::no_answer);
 }
 
 }  // namespace lemonroute::discovery
