No client is taken before the first list has come, or for half a second without one

Need: what the agent has counts as told from the first moment of a process, but a new one served from `known` until its first list came, which may name nodes as ready that have long been draining; on a machine where the start itself takes long nothing of the grace is left by then.

Change: the program asks for the whole list before it listens and waits for it for 0.5 s at the most, two calls or more, then serves from `known` and goes on asking. Readiness waits, not requests: what has not been taken can't be lost, and a client is refused as it was while there was no process. SIGTERM, SIGINT and SIGHUP wait until their handlers are there, since one that came in that half second would have ended the program.

Tested on loopback: /healthz answers 200 with discovery silent, spoilt and refusing (0.5 s after the start each); a request right after the start gets 429 and its node nothing, with a list that takes 20 ms. Without the wait two tests fail (the node gets the request), without the held signals SIGHUP ends the process (exit 129). Ruled out: holding what was taken, in the front or the core, since it costs the request its time and a hold may outlast it.

--- a/src/cli/program.cpp
+++ b/src/cli/program.cpp
@@ -1,17 +1,13 @@
 #include "cli/program.h"
 
-#include <csignal>
-#include <cstdlib>
 #include <filesystem>
+#include <optional>
 
 #include "base/log.h"
-#include "discovery/watch.h"
+#include "cli/limits.h"
+#include "cli/start.h"
 #include "grpc/front.h"
-#include "grpc/node_client.h"
 #include "grpc/reflection.h"
-#include "guide/fleet.h"
-#include "http/front.h"
-#include "http/node_client.h"
 #include "ops/agent_check.h"
 #include "ops/handover.h"
 #include "ops/health_service.h"
@@ -33,35 +29,6 @@
 // A node taken out at the other process must get nothing from here half a second after the yes.
 constexpr milliseconds look_again{100};
 
-// Descriptors: some for the program itself and for management callers; of the rest two fifths for clients, as
-// many for the calls made for them, an eighth for idle connections.
-constexpr std::size_t own_descriptors = 16 + ops::Management::most_callers;
-std::size_t shared_descriptors(const config::Platform& platform) {
-  return platform.sockets - std::min(own_descriptors, platform.sockets / 2);
-}
-
-std::size_t front_places(const config::Platform& platform) { return shared_descriptors(platform) * 2 / 5; }
-std::size_t idle_nodes(const config::Platform& platform) { return shared_descriptors(platform) / 8; }
-
-// Nodes close what has been idle for the platform's time; a request written to it then is lost.
-Nodes::Limits node_limits(const config::Platform& platform, std::size_t parts) {
-  return {platform.settings.connect_timeout, platform.connection_idle * 6 / 10, idle_nodes(platform) / parts};
-}
-
-std::unique_ptr<Nodes> make_nodes(net::Loop& loop, const config::Platform& platform, bool grpc) {
-  if (grpc) return std::make_unique<grpc::NodeClient>(loop, grpc::Session::Limits{platform.settings.connect_timeout});
-  const Nodes::Limits limits = node_limits(platform, 1);
-  return std::make_unique<http::NodeClient>(
-      loop, http::ClientLimits{limits.connect_timeout, limits.idle, limits.idle_most});
-}
-
-http::Front::Options front_options(const config::Platform& platform, const config::Operator& settings) {
-  http::Front::Options options{{platform.listen}, front_places(platform)};
-  options.inherited = platform.socket;
-  options.listen.insert(options.listen.end(), settings.http_listen.begin(), settings.http_listen.end());
-  return options;
-}
-
 // Why a choice came to nothing. The module builds this for each choice, so it is asked for only where it is logged.
 void log_empty_choice(const Conductor& conductor, const Choice& choice) {
   if (choice.chosen != 0) return;
@@ -75,33 +42,9 @@
       if (candidate.left_out) line << "; " << conductor.name_of(candidate.host) << ' ' << candidate.left_out;
 }
 
-guide::Fleet::Options fleet_options(const config::Platform& platform, const config::PeersFile& peers, Micros now) {
-  guide::Fleet::Options options;
-  auto& service = options.service;
-  service.agent.name = platform.name;
-  service.agent.site = peers.site;
-  service.agent.address = peers.advertise;
-  service.agent.start = static_cast<std::uint64_t>(now.count());
-  service.agent.seeds = peers.seeds;
-  service.agent.period = peers.period;
-  service.listen = peers.listen;
-  service.beside_another = platform.socket.has_value();
-  service.keys = peers.keys;
-  service.via = peers.via;
-  options.siblings.stated = platform.settings.siblings;
-  options.siblings.least = static_cast<std::uint32_t>(peers.siblings_least);
-  options.siblings.most = static_cast<std::uint32_t>(peers.siblings_most);
-  return options;
-}
-
 }  // namespace
 
 struct Program::Parts {
-  static void say_unused(const config::Platform& platform) {
-    std::string keys;
-    for (const auto& key : platform.unused) keys += (keys.empty() ? "" : ", ") + key;
-    if (!keys.empty()) logging::info() << "allowed by the settings and not used here: " << keys;
-  }
   Parts(net::Loop& loop, const config::Platform& platform, const config::Operator& settings, Reload again)
       : platform_(platform),
         read_again_(std::move(again)),
@@ -110,6 +53,7 @@
         processes_(std::filesystem::temp_directory_path(), platform.name, platform.listen),
         nodes_(make_nodes(loop_, platform, settings.grpc_nodes)),
         conductor_(platform.settings, platform.zones, platform.kinds, platform.seed, clock_, *nodes_),
+        watch_(first_list(loop_, platform, conductor_)),
         status_(conductor_),
         front_(loop_, conductor_, front_options(platform, settings)),
         due_(loop_, [this] { conductor_.run_due(); }),
@@ -149,18 +93,15 @@
     conductor_.on_change = [this] { changed(); };
     if (logging::enabled(logging::Level::debug))
       conductor_.explain([this](const Choice& choice) { log_empty_choice(conductor_, choice); });
-    conductor_.update(ListKind::cached, platform.known.version, platform.known.nodes);
     conductor_.keep_bans(processes_.file(".bans"), processes_.lock());
-    if (!platform.discovery.empty()) {
-      watch_ = std::make_unique<discovery::Watch>(loop_, platform.discovery, conductor_);
-      watch_->start();
-    }
+    changed();
     look();
     if (platform.socket)
       handover_ = std::make_unique<ops::Handover>(loop_, processes_.file(".streams"),
                                                   [this](const Passing& stream) { front_.adopt(stream); },
                                                   [this](const News& news) { conductor_.believe(news); });
     processes_.serves(true);
+    held_.reset();  // the handlers are there
   }
   ~Parts() {
     conductor_.on_change = nullptr;  // the timer goes before the conductor does, and so does the witness
@@ -261,7 +202,8 @@
       nodes_->limit(node_limits(platform_, parts()));
       conductor_.retune(platform.settings, platform.zones, platform.kinds);
       if (!watch_) conductor_.update(ListKind::full, ++platform_.known.version, platform.known.nodes);
-      else if (std::exchange(platform_.discovery, platform.discovery) != platform.discovery)
+      else watch_->retune(lists_of(platform.settings), platform.settings.drain_grace);
+      if (watch_ && std::exchange(platform_.discovery, platform.discovery) != platform.discovery)
         watch_->move(platform.discovery);
       ++reloads_.loaded;
     } catch (const config::ConfigError& error) {
@@ -283,6 +225,7 @@
     ended_.start(end_poll);
   }
 
+  std::optional<SignalsHeld> held_{std::in_place};
   config::Platform platform_;
   const Reload read_again_;
   net::Loop& loop_;
@@ -290,9 +233,9 @@
   ops::Processes processes_;
   std::unique_ptr<Nodes> nodes_;
   Conductor conductor_;
+  std::unique_ptr<discovery::Watch> watch_;  // none where the nodes are fixed
   ops::Status status_;
   http::Front front_;
-  std::unique_ptr<discovery::Watch> watch_;  // none where the nodes are fixed
   net::Timer due_, window_, ended_, look_, pass_;
   net::Signal term_, interrupt_, hang_up_;
   std::unique_ptr<Grpc> grpc_;
--- /dev/null
+++ b/src/cli/start.cpp
@@ -0,0 +1,54 @@
+#include "cli/start.h"
+
+#include "base/log.h"
+
+namespace lemonroute::cli {
+namespace {
+
+// While discovery is down there is no list to be had, and conductors that were all killed are to be ready soon: two
+// calls at the least are made in this time, and then the last list that the platform knows of has to do.
+constexpr std::chrono::milliseconds first_list_within{500};
+
+std::string joined(const std::vector<std::string>& keys) {
+  std::string text;
+  for (const auto& key : keys) text += (text.empty() ? "" : ", ") + key;
+  return text;
+}
+
+}  // namespace
+
+SignalsHeld::SignalsHeld() {
+  sigset_t orders;
+  sigemptyset(&orders);
+  for (const int one : {SIGTERM, SIGINT, SIGHUP}) sigaddset(&orders, one);
+  pthread_sigmask(SIG_BLOCK, &orders, &before_);
+}
+SignalsHeld::~SignalsHeld() { pthread_sigmask(SIG_SETMASK, &before_, nullptr); }
+
+discovery::Lists lists_of(const Settings& settings) {
+  return settings.discovery_on_request ? discovery::Lists::asked : discovery::Lists::pushed;
+}
+
+std::unique_ptr<discovery::Watch> first_list(net::Loop& loop, const config::Platform& platform, Conductor& conductor) {
+  conductor.update(ListKind::cached, platform.known.version, platform.known.nodes);
+  if (platform.discovery.empty()) return nullptr;
+  // Copies of one program may be started with one seed, or with none.
+  const std::uint64_t seed = platform.seed ^ hash_of(platform.name);
+  auto watch = std::make_unique<discovery::Watch>(
+      loop, platform.discovery, conductor,
+      discovery::Cadence(lists_of(platform.settings), platform.settings.drain_grace, seed));
+  bool over = false;
+  net::Timer bound(loop, [&over] { over = true; });
+  bound.start(first_list_within);
+  watch->start();
+  while (!over && !watch->heard()) loop.run_once();
+  if (!watch->heard()) logging::warn() << "no list from discovery yet: serving from the one that was known";
+  return watch;
+}
+
+void say_unused(const config::Platform& platform) {
+  if (!platform.unused.empty())
+    logging::info() << "allowed by the settings and not used here: " << joined(platform.unused);
+}
+
+}  // namespace lemonroute::cli
--- /dev/null
+++ b/src/cli/start.h
@@ -0,0 +1,32 @@
+// What is settled before the first client is taken.
+#pragma once
+
+#include <csignal>
+#include <memory>
+
+#include "config/platform.h"
+#include "discovery/watch.h"
+
+namespace lemonroute::cli {
+
+// From here on until it is let go of, orders by signal wait: before their handlers are there they would end the program.
+class SignalsHeld {
+ public:
+  SignalsHeld();
+  ~SignalsHeld();
+  SignalsHeld(const SignalsHeld&) = delete;
+  SignalsHeld& operator=(const SignalsHeld&) = delete;
+
+ private:
+  sigset_t before_;
+};
+
+// The list that the conductor serves from. What the agent has counts as told from the first moment of a process, so
+// `known` alone would have it send to nodes that have long been draining: no client is taken before the first list has
+// come, or half a second has passed without one. None where the nodes are fixed.
+std::unique_ptr<discovery::Watch> first_list(net::Loop& loop, const config::Platform& platform, Conductor& conductor);
+
+discovery::Lists lists_of(const Settings& settings);
+void say_unused(const config::Platform& platform);  // one line of the log
+
+}  // namespace lemonroute::cli
