Every key of a configuration is used or said not to be, in one line; null is absence

Need: a deployment's configuration may carry keys that nothing here reads, that nobody here knows, or null; the log named three permissions only, and null for a key that may be left out (max-retry-after-us, seed, sockets) ended the start.

Change: known_settings has a table of all keys of the platform's page, those that something depends on and those that nothing does, found by looking up each field's use (late-worth, share, stream, probes, prices and others are read by nothing that serves). One line at the start and at SIGHUP has what is allowed and not used, stated and not used, not known.

--- a/src/cli/start.cpp
+++ b/src/cli/start.cpp
@@ -47,8 +47,12 @@
 }
 
 void say_unused(const config::Platform& platform) {
-  if (!platform.unused.empty())
-    logging::info() << "allowed by the settings and not used here: " << joined(platform.unused);
+  std::string line;
+  for (const auto& [what, keys] : {std::pair{"allowed by the settings and not used here: ", &platform.unused},
+                                   std::pair{"stated and not used: ", &platform.not_read},
+                                   std::pair{"not known, and left out: ", &platform.unknown}})
+    if (!keys->empty()) line += (line.empty() ? "" : "; ") + std::string(what) + joined(*keys);
+  if (!line.empty()) logging::info() << line;
 }
 
 }  // namespace lemonroute::cli
--- a/src/config/platform.cpp
+++ b/src/config/platform.cpp
@@ -6,6 +6,7 @@
 #include <sstream>
 #include <utility>
 
+#include "config/known_settings.h"
 #include "net/connection.h"
 #include "wire/settings.h"
 
@@ -86,6 +87,16 @@
   for (std::size_t i = 0; i < to.tenants.size(); ++i) to.tenants[i].name = accounts->at(i).value("name", "");
 }
 
+std::uint64_t seed_of(const json& config) {
+  const auto found = config.find("seed");
+  if (found == config.end()) return 0;
+  if (found->is_number_unsigned()) return found->get<std::uint64_t>();
+  const auto text = found->get<std::string>();
+  std::uint64_t seed = 0;
+  std::from_chars(text.data(), text.data() + text.size(), seed, 16);
+  return seed;
+}
+
 void check_usable(const Settings& settings) {
   if (settings.classes.empty()) throw ConfigError("settings: no classes in lanes");
   if (settings.max_attempts == 0) throw ConfigError("settings: limits.max-attempts must be a positive number");
@@ -109,15 +120,18 @@
 
 Platform parse_platform(const std::string& text) {
   try {
-    const json config = json::parse(text);
+    json config = json::parse(text);
+    const Unread left = unread(config);
+    drop_nulls(config);
     check_complete(config);
     Platform platform;
     platform.name = config.value("name", "");
     platform.listen = config.value("listen", "");
     platform.discovery = config.value("discovery", "");
     platform.management = config.value("mgmt", "");
-    const auto seed = config.value("seed", "0");
-    std::from_chars(seed.data(), seed.data() + seed.size(), platform.seed, 16);
+    platform.not_read = left.unused;
+    platform.unknown = left.unknown;
+    platform.seed = seed_of(config);
     if (const auto limits = config.find("limits"); limits != config.end())
       platform.sockets = limits->value("sockets", platform.sockets);
     const json& settings = config.at("settings");
--- a/src/config/platform.h
+++ b/src/config/platform.h
@@ -27,6 +27,7 @@
   std::size_t sockets = 1024;
   Settings settings;                // without what `unused` names
   std::vector<std::string> unused;  // keys of what the platform allows and this conductor never does
+  std::vector<std::string> not_read, unknown;  // keys that are stated: known, and nothing depends on them; not known
   std::vector<std::string> zones, kinds;
   Micros connection_idle{};
   discovery::NodeList known;
