--- /dev/null
+++ b/src/http/client_connection.cpp
@@ -0,0 +1,224 @@
+#include "http/client_connection.h"
+
+#include <sstream>
+
+#include "base/log.h"
+#include "http/front.h"
+#include "http/inquiry.h"
+
+namespace lemonroute::http {
+namespace {
+
+constexpr std::size_t most_unsent = 64 * 1024;  // of an answer, before the node has to wait
+constexpr std::size_t most_input = 32 * 1024;   // read ahead of a connection
+constexpr Micros linger_for = std::chrono::seconds(1);
+constexpr double characters_a_token = 4;
+
+}  // namespace
+
+ClientConnection::ClientConnection(Front& front, evutil_socket_t fd)
+    : front_(front), timer_(front.loop_, [this] { on_timer(); }), connection_(front.loop_, fd, *this) {
+  connection_.limit_input(most_input);
+  timer_.start(front_.options_.asking);
+}
+ClientConnection::ClientConnection(Front& front, const Passed& adopted) : ClientConnection(front, adopted.fd) {
+  timer_.stop();
+  state_ = State::streaming;
+  asked_ = whole_ = true;
+  closes_ = adopted.closes;
+  keep_ = !closes_;
+}
+ClientConnection::~ClientConnection() {
+  if (state_ == State::waiting || state_ == State::streaming) front_.conductor_.gone(id_);
+}
+
+bool ClientConnection::go_on(const Passing& stream) {
+  inquiry_.prompt.id = stream.id;
+  if (front_.conductor_.adopt(stream, *this, id_)) return true;
+  state_ = State::closed;
+  return false;
+}
+
+void ClientConnection::close() {
+  const State was = std::exchange(state_, State::closed);
+  if (was == State::waiting || was == State::streaming) front_.conductor_.gone(id_);
+  front_.discard(*this);
+}
+
+// ---- what comes in ----
+
+void ClientConnection::on_readable() {
+  if (state_ == State::head) read_head();
+  if (state_ == State::body) read_body();
+  if (state_ == State::lingering) evbuffer_drain(connection_.input(), evbuffer_get_length(connection_.input()));
+}
+
+void ClientConnection::read_head() {
+  HeadScan scan = scan_head(connection_.input(), Kind::request, scanned_);
+  if (scan.state == Scan::more) {
+    if (evbuffer_get_length(connection_.input()) > 0) begin_request();
+    return;
+  }
+  begin_request();
+  if (scan.state == Scan::fault) return answer_and_close(static_cast<int>(scan.fault));
+  keep_ = !scan.head.closes();
+  Fault fault = Fault::none;
+  const auto body = Body::of_request(scan.head, fault);
+  if (!body) return answer_and_close(static_cast<int>(fault));
+  status_ = answer_of(scan.head, front_.draining_, inquiry_);
+  body_ = *body;
+  if (same_name(scan.head.field("Expect"), "100-continue") && status_ == 0)
+    connection_.write("HTTP/1.1 100 Continue\r\n\r\n");
+  evbuffer_drain(connection_.input(), scan.length);
+  text_ = std::make_shared<std::string>();
+  state_ = State::body;
+}
+
+// Guards the places of the front: a peer that says nothing, or sends its request by drops, has as long for
+// all of it, so the time of the first request runs from connecting on and is never started anew.
+void ClientConnection::begin_request() {
+  whole_ = false;
+  if (std::exchange(in_request_, true) || !asked_) return;
+  timer_.start(front_.options_.asking);
+  front_.admission_.busy(*this);
+}
+
+void ClientConnection::read_body() {
+  const auto state = body_.take(connection_.input(), [this](std::string_view piece) {
+    text_->append(piece);
+    return true;
+  });
+  if (state == Body::State::fault) return answer_and_close(static_cast<int>(body_.fault()));
+  if (state == Body::State::more) return;
+  timer_.stop();
+  in_request_ = false;
+  asked_ = whole_ = true;
+  front_.admission_.busy(*this);
+  if (status_ != 0) return answer(status_);
+  inquiry_.prompt.body = std::move(text_);
+  if (inquiry_.prompt_tokens == 0)
+    inquiry_.prompt_tokens = static_cast<double>(inquiry_.prompt.body->size()) / characters_a_token;
+  state_ = State::waiting;
+  const auto taken = front_.conductor_.take(inquiry_, *this, id_);
+  if (taken != Conductor::Taken::yes) answer(400);
+}
+
+void ClientConnection::on_drained() {
+  if (state_ == State::ending) return finish_ending();
+  if (state_ == State::streaming && std::exchange(held_back_, false)) {
+    timer_.stop();
+    front_.conductor_.drained(id_);
+  }
+}
+void ClientConnection::on_closed() {
+  if (state_ != State::closed) close();
+}
+void ClientConnection::on_timer() {
+  if (state_ == State::streaming) logging::info() << "a client takes nothing, " << inquiry_.prompt.id;
+  if (in_request_ && (state_ == State::head || state_ == State::body)) return answer_and_close(408);
+  close();
+}
+
+// ---- what goes out ----
+
+bool ClientConnection::event(std::string_view data) {
+  std::ostringstream chunk;
+  if (state_ == State::waiting) {
+    state_ = State::streaming;
+    closes_ = ends_connection();
+    chunk << "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCache-Control: no-cache\r\n"
+          << (closes_ ? "Connection: close\r\n" : "") << "Transfer-Encoding: chunked\r\n\r\n";
+  }
+  std::string text;
+  for (;;) {
+    const auto end = data.find('\n');
+    text.append("data: ").append(data.substr(0, end)) += '\n';
+    if (end == std::string_view::npos) break;
+    data.remove_prefix(end + 1);
+  }
+  chunk << std::hex << text.size() + 1 << "\r\n" << text << "\n\r\n";
+  connection_.write(chunk.str());
+  if (connection_.unsent() < most_unsent) return true;
+  held_back_ = true;
+  timer_.start(front_.options_.sending);
+  return false;
+}
+void ClientConnection::finish() {
+  connection_.write("e\r\ndata: [DONE]\n\n\r\n0\r\n\r\n");
+  complete(closes_);
+}
+void ClientConnection::refuse(Micros stay_away) {
+  std::ostringstream field;
+  if (stay_away > Micros(0))
+    field << "Retry-After: " << std::chrono::duration<double>(stay_away).count() << "\r\n";
+  answer(429, field.str());
+}
+void ClientConnection::fail(Failure why) {
+  answer(why == Failure::timed_out ? 504 : why == Failure::unfit ? 400 : 502);
+}
+std::optional<Passed> ClientConnection::passable() {
+  const bool between = state_ == State::streaming && !held_back_ && connection_.at_rest();
+  return between ? std::optional(Passed{connection_.descriptor(), closes_}) : std::nullopt;
+}
+void ClientConnection::passed() {
+  connection_.read(false);  // what comes from now on is for the other process
+  state_ = State::closed;
+  front_.discard(*this);
+}
+void ClientConnection::cut() {
+  // No last chunk: the client must see that the stream is not whole, and see it now.
+  state_ = State::ending;
+  cut_ = true;
+  timer_.start(linger_for);
+  if (connection_.unsent() == 0) finish_ending();
+}
+
+// Guards against clients that ask once and stay: by the time their places are needed there may be hundreds
+// of them, all too fresh at rest to be closed.
+bool ClientConnection::ends_connection() const {
+  return front_.draining_ || !keep_ || front_.admission_.crowded();
+}
+
+void ClientConnection::answer(int status, std::string_view field) {
+  const bool closes = ends_connection();
+  std::string fields(field);
+  if (closes) fields += "Connection: close\r\n";
+  if (status == 405) fields += "Allow: POST\r\n";
+  connection_.write(whole_answer(status, fields));
+  complete(closes);
+}
+void ClientConnection::answer_and_close(int status) {
+  logging::info() << "a client's request is not understood: " << status;
+  keep_ = false;
+  answer(status);
+}
+
+// The answer is written; another request may follow.
+void ClientConnection::complete(bool closes) {
+  timer_.stop();
+  in_request_ = false;
+  // Guards against a stream whose head went out before the program began to drain and so did not say that the
+  // connection ends: the client would ask again on it, of a process that is about to end.
+  if (closes || front_.draining_) {
+    state_ = State::ending;
+    timer_.start(front_.options_.sending);
+    if (connection_.unsent() == 0) finish_ending();
+    return;
+  }
+  state_ = State::head;
+  timer_.start(front_.options_.idle);
+  front_.admission_.at_rest(*this);
+  if (evbuffer_get_length(connection_.input()) > 0) connection_.poke();
+}
+
+// All has been sent. Closing with bytes unread would reset the connection and could take the answer with
+// it, so a client that may still be sending is read for a moment. One that has sent its whole request is
+// not, and a cut stream has nothing to protect.
+void ClientConnection::finish_ending() {
+  if (cut_ || (whole_ && evbuffer_get_length(connection_.input()) == 0)) return close();
+  state_ = State::lingering;
+  connection_.end_sending();
+  timer_.start(linger_for);
+}
+
+}  // namespace lemonroute::http
--- /dev/null
+++ b/src/http/client_connection.h
@@ -0,0 +1,70 @@
+// One connection of a client: its requests in, their answers out, and how it ends.
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "core/conductor.h"
+#include "http/message.h"
+#include "net/admission.h"
+#include "net/connection.h"
+
+namespace lemonroute::http {
+
+class Front;
+
+class ClientConnection : net::Connection::Handler, public net::Admission::Guest, public lemonroute::Client {
+ public:
+  ClientConnection(Front& front, evutil_socket_t fd);
+  ClientConnection(Front& front, const Passed& adopted);  // a stream that another process began to answer
+  ~ClientConnection() override;
+  bool go_on(const Passing& stream);  // with what was adopted; false: it is none of the core's
+
+  // Nothing of a request has come, not to the kernel either: what is on its way may still be read and answered.
+  bool between_requests() { return state_ == State::head && connection_.silent(); }
+  bool at_rest() { return asked_ && between_requests(); }
+  void dismiss() override { close(); }
+  void close();
+
+ private:
+  enum class State { head, body, waiting, streaming, ending, lingering, closed };
+
+  // ---- what comes in ----
+  void on_readable() override;
+  void on_drained() override;
+  void on_closed() override;
+  void on_timer();
+  void read_head();
+  void begin_request();
+  void read_body();
+
+  // ---- what goes out ----
+  bool event(std::string_view data) override;
+  void finish() override;
+  void refuse(Micros stay_away) override;
+  void fail(Failure why) override;
+  void cut() override;
+  std::optional<Passed> passable() override;
+  void passed() override;
+  bool ends_connection() const;
+  void answer(int status, std::string_view field = {});
+  void answer_and_close(int status);
+  void complete(bool closes);
+  void finish_ending();
+
+  Front& front_;
+  State state_ = State::head;
+  RequestId id_ = 0;
+  Inquiry inquiry_;
+  int status_ = 0;
+  bool keep_ = true, closes_ = false, in_request_ = false, asked_ = false, whole_ = false, held_back_ = false, cut_ = false;
+  std::size_t scanned_ = 0;
+  Body body_;
+  std::shared_ptr<std::string> text_;
+  net::Timer timer_;
+  net::Connection connection_;
+};
+
+}  // namespace lemonroute::http
