Client connections end half-closed first; what comes behind the last answer stays unread

Need: a close over unread bytes resets the connection and takes the last answer with it. finish_ending closed at once when the request was whole and nothing was buffered here: a next request that was in the kernel in that moment turned the close into a reset. Resting connections and cut streams were closed at once likewise.

Change: our end is told first (shutdown), then the peer's is waited for, 1 s at most. While a request that has had its answer is still coming, what comes is read and dropped, 1 MiB at most; otherwise nothing is read, so that a client may send a crossing request again elsewhere, and none is ever sent on after our end. Connections that only wait for their peer take no place, but an eighth of the places is the most of them.

Ruled out: reading and dropping in all cases; a request that was read and not answered is lost. Measured: tests/edges/ends fails with either of the two closes put back at once (the answer is gone), and http_silent_places.scn without the 503.

--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -11,7 +11,9 @@
 
 constexpr std::size_t most_unsent = 64 * 1024;  // of an answer, before the node has to wait
 constexpr std::size_t most_input = 32 * 1024;   // read ahead of a connection
+// After our end the peer has so long to end as well, and may finish sending so much of a request already answered.
 constexpr Micros linger_for = std::chrono::seconds(1);
+constexpr std::size_t most_drained = 1024 * 1024;
 constexpr double characters_a_token = 4;
 
 }  // namespace
@@ -39,6 +41,18 @@
   return false;
 }
 
+// Who has begun a request hears that it was not taken, instead of an end without a word.
+void ClientConnection::dismiss() {
+  if (leaving()) return close();
+  if (!in_request_) return half_close();
+  keep_ = false;
+  answer(503, "Retry-After: 0.1\r\n");
+  connection_.push();
+  if (state_ != State::ending) return;
+  if (connection_.unsent() > 0) return close();
+  finish_ending();
+}
+
 void ClientConnection::close() {
   const State was = std::exchange(state_, State::closed);
   if (was == State::waiting || was == State::streaming) front_.conductor_.gone(id_);
@@ -50,7 +64,7 @@
 void ClientConnection::on_readable() {
   if (state_ == State::head) read_head();
   if (state_ == State::body) read_body();
-  if (state_ == State::lingering) evbuffer_drain(connection_.input(), evbuffer_get_length(connection_.input()));
+  if (state_ == State::lingering) drop_input();
 }
 
 void ClientConnection::read_head() {
@@ -116,6 +130,7 @@
 void ClientConnection::on_timer() {
   if (state_ == State::streaming) logging::info() << "a client takes nothing, " << inquiry_.prompt.id;
   if (in_request_ && (state_ == State::head || state_ == State::body)) return answer_and_close(408);
+  if (state_ == State::head) return half_close();
   close();
 }
 
@@ -167,10 +182,7 @@
 }
 void ClientConnection::cut() {
   // No last chunk: the client must see that the stream is not whole, and see it now.
-  state_ = State::ending;
-  cut_ = true;
-  timer_.start(linger_for);
-  if (connection_.unsent() == 0) finish_ending();
+  begin_ending(linger_for);
 }
 
 // Guards against clients that ask once and stay: by the time their places are needed there may be hundreds
@@ -199,26 +211,47 @@
   in_request_ = false;
   // Guards against a stream whose head went out before the program began to drain and so did not say that the
   // connection ends: the client would ask again on it, of a process that is about to end.
-  if (closes || front_.draining_) {
-    state_ = State::ending;
-    timer_.start(front_.options_.sending);
-    if (connection_.unsent() == 0) finish_ending();
-    return;
-  }
+  if (closes || front_.draining_) return begin_ending(front_.options_.sending);
   state_ = State::head;
   timer_.start(front_.options_.idle);
   front_.admission_.at_rest(*this);
   if (evbuffer_get_length(connection_.input()) > 0) connection_.poke();
 }
 
-// All has been sent. Closing with bytes unread would reset the connection and could take the answer with
-// it, so a client that may still be sending is read for a moment. One that has sent its whole request is
-// not, and a cut stream has nothing to protect.
+// What comes from now on belongs to no answer of this connection, unless its request is not whole.
+void ClientConnection::begin_ending(Micros within) {
+  state_ = State::ending;
+  if (whole_) connection_.read(false);
+  timer_.start(within);
+  if (connection_.unsent() == 0) finish_ending();
+}
+
+// All has been sent. Closing with bytes unread would reset the connection and could take the answer with it, so our
+// end is told first, and the peer's waited for. Danger: a request that is in the kernel by then, or comes while we
+// wait. It could not be answered, so it must not be sent on; and read here it would be lost, while a client whose
+// request was not read sends it again elsewhere. Only what belongs to a request that has had its answer is read.
 void ClientConnection::finish_ending() {
-  if (cut_ || (whole_ && evbuffer_get_length(connection_.input()) == 0)) return close();
+  if (whole_ && evbuffer_get_length(connection_.input()) == 0) return half_close();
   state_ = State::lingering;
+  connection_.read(true);
   connection_.end_sending();
   timer_.start(linger_for);
+  front_.admission_.leaving(*this);
+  if (state_ == State::lingering) drop_input();
+}
+
+void ClientConnection::half_close() {
+  state_ = State::half_closed;
+  connection_.end_sending();
+  connection_.leave_unread();
+  timer_.start(linger_for);
+  front_.admission_.leaving(*this);
+}
+
+void ClientConnection::drop_input() {
+  const std::size_t size = evbuffer_get_length(connection_.input());
+  evbuffer_drain(connection_.input(), size);
+  if ((drained_ += size) > most_drained) close();
 }
 
 }  // namespace lemonroute::http
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -25,11 +25,13 @@
   // Nothing of a request has come, not to the kernel either: what is on its way may still be read and answered.
   bool between_requests() { return state_ == State::head && connection_.silent(); }
   bool at_rest() { return asked_ && between_requests(); }
-  void dismiss() override { close(); }
-  void close();
+  void dismiss() override;
+  void half_close();  // what the peer sends from now on is never looked at
+  void close();  // at once, with whatever it holds
 
  private:
-  enum class State { head, body, waiting, streaming, ending, lingering, closed };
+  enum class State { head, body, waiting, streaming, ending, lingering, half_closed, closed };
+  bool leaving() const { return state_ == State::lingering || state_ == State::half_closed; }
 
   // ---- what comes in ----
   void on_readable() override;
@@ -52,14 +54,17 @@
   void answer(int status, std::string_view field = {});
   void answer_and_close(int status);
   void complete(bool closes);
+  void begin_ending(Micros within);
   void finish_ending();
+  void drop_input();
 
   Front& front_;
   State state_ = State::head;
   RequestId id_ = 0;
   Inquiry inquiry_;
   int status_ = 0;
-  bool keep_ = true, closes_ = false, in_request_ = false, asked_ = false, whole_ = false, held_back_ = false, cut_ = false;
+  bool keep_ = true, closes_ = false, in_request_ = false, asked_ = false, whole_ = false, held_back_ = false;
+  std::size_t drained_ = 0;  // bytes dropped since our end
   std::size_t scanned_ = 0;
   Body body_;
   std::shared_ptr<std::string> text_;
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -69,7 +69,7 @@
   std::vector<ClientConnection*> chosen;
   for (const auto& [connection, owned] : connections_)
     if ((connection->*holds)()) chosen.push_back(connection);
-  for (auto* connection : chosen) connection->close();
+  for (auto* connection : chosen) connection->half_close();
 }
 
 }  // namespace lemonroute::http
--- a/src/net/admission.cpp
+++ b/src/net/admission.cpp
@@ -1,5 +1,6 @@
 #include "net/admission.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "base/log.h"
@@ -18,14 +19,13 @@
 
 }  // namespace
 
-Admission::Admission(Loop& loop, std::size_t most, std::function<void(bool)> pause)
-    : most_(most), pause_(std::move(pause)), again_(loop, [this] { make_room(); }) {}
+Admission::Admission(Loop& loop, std::size_t most, std::function<void(bool)> pause, Now now)
+    : most_(most), pause_(std::move(pause)), now_(std::move(now)), again_(loop, [this] { make_room(); }) {}
 
 void Admission::limit(std::size_t most) {
   most_ = most;
-  if (present_ >= most_) return make_room();
-  again_.stop();
-  if (std::exchange(paused_, false)) pause_(false);
+  if (taken() >= most_) return make_room();
+  go_on();
 }
 
 void Admission::arrived(Guest& guest) {
@@ -39,9 +39,24 @@
 void Admission::left(Guest& guest) {
   move(guest, nullptr);
   --present_;
-  if (present_ >= most_ || !std::exchange(paused_, false)) return;
+  go_on();
+}
+
+void Admission::leaving(Guest& guest) {
+  move(guest, &leaving_);
+  // Guards the descriptors: peers that never go, of connections that end by the hundred.
+  while (leaving_.size() > std::max<std::size_t>(1, most_ / 8)) {
+    const Guest* const first = leaving_.front();
+    leaving_.front()->dismiss();
+    if (!leaving_.empty() && leaving_.front() == first) break;
+  }
+  go_on();
+}
+
+void Admission::go_on() {
+  if (taken() >= most_) return;
   again_.stop();
-  pause_(false);
+  if (std::exchange(paused_, false)) pause_(false);
 }
 
 void Admission::move(Guest& guest, std::list<Guest*>* to) {
@@ -49,15 +64,15 @@
   guest.in = to;
   if (!to) return;
   guest.at = to->insert(to->end(), &guest);
-  guest.since = std::chrono::steady_clock::now();
+  guest.since = now_();
 }
 
 // One place is kept free for whoever comes next. Resting peers are asked to leave first, since they lose the
 // least by it. With nobody to dismiss, newcomers wait in the kernel's queue.
 void Admission::make_room() {
-  while (present_ >= most_)
+  while (taken() >= most_)
     if (!dismiss_first(resting_, rest_at_least) && !dismiss_first(unproven_, prove_within)) break;
-  if (present_ < most_) return;
+  if (taken() < most_) return;
   if (!std::exchange(paused_, true)) {
     logging::info() << "all " << most_ << " places are taken, " << resting_.size() << " by connections at rest, "
                     << unproven_.size() << " by such that have not asked; newcomers wait";
@@ -67,7 +82,7 @@
 }
 
 bool Admission::dismiss_first(std::list<Guest*>& of, Micros after) {
-  if (of.empty() || std::chrono::steady_clock::now() - of.front()->since < after) return false;
+  if (of.empty() || now_() - of.front()->since < after) return false;
   of.front()->dismiss();
   return true;
 }
--- a/src/net/admission.h
+++ b/src/net/admission.h
@@ -15,34 +15,43 @@
   class Guest {
    public:
     virtual ~Guest() = default;
-    virtual void dismiss() = 0;  // its place is needed; it leaves at once
+    // Its place is needed. It leaves at once, or says that it is leaving; asked for the second time it leaves.
+    virtual void dismiss() = 0;
 
    private:
     friend class Admission;
-    std::list<Guest*>* in = nullptr;  // nowhere while it is busy
+    std::list<Guest*>* in = nullptr;  // none while it is busy
     std::list<Guest*>::iterator at{};
     std::chrono::steady_clock::time_point since{};
   };
 
+  using Now = std::function<std::chrono::steady_clock::time_point()>;
   // `pause` stops and restarts the taking of connections.
-  Admission(Loop& loop, std::size_t most, std::function<void(bool)> pause);
+  Admission(Loop& loop, std::size_t most, std::function<void(bool)> pause, Now now = std::chrono::steady_clock::now);
 
   void limit(std::size_t most);  // from now on; those who are there stay until they may be dismissed
   void arrived(Guest& guest);  // and has not asked for anything yet
   void busy(Guest& guest);     // a request of it is open: it is not dismissed
   void at_rest(Guest& guest);  // between requests
+  // Its last answer is out and it only waits for its peer to go: it takes no place any more, but of these there may be
+  // an eighth of the places; beyond that the one that has been leaving longest goes.
+  void leaving(Guest& guest);
   void left(Guest& guest);
-  bool crowded() const { return present_ > most_ / 2; }  // answers had better end their connections
+  bool crowded() const { return taken() > most_ / 2; }  // answers had better end their connections
+  std::size_t free() const { return taken() < most_ ? most_ - taken() : 0; }
 
  private:
   void move(Guest& guest, std::list<Guest*>* to);
   void make_room();
   bool dismiss_first(std::list<Guest*>& of, Micros after);
+  void go_on();
+  std::size_t taken() const { return present_ - leaving_.size(); }
 
   std::size_t most_, present_ = 0;
   std::function<void(bool)> pause_;
+  const Now now_;
   bool paused_ = false;
-  std::list<Guest*> unproven_, resting_;  // each with the longest there in front
+  std::list<Guest*> unproven_, resting_, leaving_;  // each with the longest there in front
   Timer again_;
 };
 
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -89,6 +89,23 @@
          recv(bufferevent_getfd(bev_.get()), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
          (errno == EAGAIN || errno == EWOULDBLOCK);
 }
+bool Connection::ended() const {
+  char byte = 0;
+  const auto got = recv(bufferevent_getfd(bev_.get()), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+// Once: with bytes in front of it the end can't be seen without reading them, and the loop would spin on them.
+void Connection::leave_unread() {
+  bufferevent_disable(bev_.get(), EV_READ);
+  end_.reset(event_new(
+      bufferevent_get_base(bev_.get()), descriptor(), EV_READ,
+      [](evutil_socket_t, short, void* self) {
+        auto* connection = static_cast<Connection*>(self);
+        if (connection->ended()) connection->handler_->on_closed();
+      },
+      this));
+  event_add(end_.get(), nullptr);
+}
 void Connection::push() {
   evbuffer* output = bufferevent_get_output(bev_.get());
   if (evbuffer_get_length(output) == 0) return;
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -46,6 +46,7 @@
   bool started() const { return started_; }  // false: not even a socket could be had
   evbuffer* input() { return bufferevent_get_input(bev_.get()); }
   bool silent() const;  // nothing has come in, not even an end
+  bool ended() const;   // the peer's end, or an error, is what would be read next
   evutil_socket_t descriptor() const { return bufferevent_getfd(bev_.get()); }
   bool at_rest() const {  // nothing that has come or is to go is held here
     return unsent() == 0 && evbuffer_get_length(bufferevent_get_input(bev_.get())) == 0;
@@ -58,6 +59,9 @@
   void read(bool on);              // backpressure: off leaves bytes with the sender
   void limit_input(std::size_t n);  // most bytes buffered here before the sender has to wait
   void end_sending();
+  // From now on nothing is read: what comes stays with the kernel, for a peer that may then send it elsewhere.
+  // on_closed tells of the peer's end, unless something came before it.
+  void leave_unread();
   void push();  // writes what the kernel takes of it at once, before a close that would drop it
   void poke();  // calls on_readable again, from the loop, for bytes that have been left in input()
 
@@ -68,6 +72,7 @@
   void set_up(Handler& handler);
   std::unique_ptr<bufferevent, Free> bev_;
   Handler* handler_ = nullptr;
+  EventPtr end_;
   bool started_ = true;
 };
 
