Who waits in the listener's queue at the end of the window is taken, as far as places go

Cause: Front::stop_accepting closed the listeners first. With all places taken the listener is paused, and connections wait in the kernel's queue, their requests sent: they were reset with the listener, though the ones at rest were closed in the same call. Change: those at rest go first, then as many are taken as there are places. Measured: the case in_the_queue of tests/edges/ends fails without the line.

--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -60,9 +60,12 @@
   close_if(&ClientConnection::at_rest);
 }
 
+// Danger: who waits in a listener's queue has a connection, and may have sent its request; gone with the listener it is
+// reset. Those that rest make room first.
 void Front::stop_accepting() {
-  listeners_.clear();
   close_if(&ClientConnection::between_requests);
+  for (const auto& listener : listeners_) listener->take_waiting(admission_.free());
+  listeners_.clear();
 }
 
 void Front::close_if(bool (ClientConnection::*holds)()) {
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -195,8 +195,8 @@
                                         : reinterpret_cast<sockaddr_in&>(at).sin_port);
 }
 
-void Listener::take_waiting() {
-  for (;;) {
+void Listener::take_waiting(std::size_t most) {
+  for (; most > 0; --most) {
     const evutil_socket_t fd =
         accept4(evconnlistener_get_fd(listener_.get()), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (fd < 0) return;
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -6,6 +6,7 @@
 #include <event2/listener.h>
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -85,7 +86,8 @@
   // A socket that somebody else holds too and that listens on `address`; throws if it is anything else.
   Listener(Loop& loop, const std::string& address, evutil_socket_t inherited, Accepted accepted);
   std::uint16_t port() const;
-  void take_waiting();  // those that have arrived at this socket alone would be lost with it
+  // Those that have arrived at this socket alone would be lost with it; so many at the most.
+  void take_waiting(std::size_t most = SIZE_MAX);
   void pause(bool on);
 
  private:
--- a/tests/edges/ends.cpp
+++ b/tests/edges/ends.cpp
@@ -84,6 +84,24 @@
   }
 }
 
+// A request that waits in the listener's queue for a place is taken before the listener goes.
+void in_the_queue() {
+  Door door(2);
+  Plug rests = door.client();
+  rests.send(hello);
+  door.settle();
+  Plug silent = door.client(), waits = door.client();
+  waits.send(Door::request("q1"));
+  door.settle();
+  door.front.drain();
+  door.front.stop_accepting();
+  door.settle();
+  assert(door.sent() == 1);
+  door.last().done({Outcome::error, 0, {}, {}, true});
+  door.settle();
+  assert(waits.read().find("400 Bad Request") != std::string::npos && waits.ended && waits.error == 0);
+}
+
 // An answer to a request that is still coming is not lost with what comes; a sender without end is.
 void while_it_sends() {
   Door door;
@@ -130,6 +148,7 @@
   goes_with_its_client();
   behind_a_cut();
   at_rest();
+  in_the_queue();
   while_it_sends();
   no_delay();
 }
