A reserve of descriptors for discovery, nodes and management; counts of what peers overdo

Need: clients have two fifths of the stated limit, which leaves out releases and a real limit below the stated one. With the table full the watch of discovery could not open again while clients rested for up to 75 s: its socket failed, and the next client took what came free. Lines about bad peers came one for each of them.

Change: net::Reserve keeps eight descriptors. Discovery may use all, nodes and management callers all but two, clients none: while it is not whole client listeners rest. Whoever gets no descriptor has the four clients longest at rest let go, never a busy one. net::Tally counts what peers overdo by kind, logs a line a second and kind with the number left out, and /metrics prints the counts as bad_peers. Places shrink by 3 of 396 with 1,024 descriptors.

Measured: tests/edges/descriptors plays the limit inside the process (with none left at all the sanitizers' own checks fail, so RLIMIT_NOFILE can't be used) and fails with the lending, the letting go or the bound on leaving ones taken out.

--- a/src/cli/program.cpp
+++ b/src/cli/program.cpp
@@ -35,7 +35,7 @@
 
 // Descriptors: some for the program itself and for management callers; of the rest two fifths for clients, as
 // many for the calls made for them, an eighth for idle connections.
-constexpr std::size_t own_descriptors = 16 + ops::Management::most_callers;
+constexpr std::size_t own_descriptors = 16 + net::Reserve::usual + ops::Management::most_callers;
 std::size_t shared_descriptors(const config::Platform& platform) {
   return platform.sockets - std::min(own_descriptors, platform.sockets / 2);
 }
@@ -121,6 +121,7 @@
         interrupt_(loop_, SIGINT, [this] { drain("SIGINT"); }),
         hang_up_(loop_, SIGHUP, [this] { reload(); }) {
     say_unused(platform);
+    loop_.reserve().keep(net::Reserve::usual);
     if (!settings.grpc_listen.empty()) {
       grpc_ = std::make_unique<Grpc>(*this, settings);
       logging::info() << "gRPC on " << settings.grpc_listen;
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -8,7 +8,7 @@
       : owner_(owner),
         address_(address),
         timer_(owner.loop_, [this] { on_timer(); }),
-        connection_(owner.loop_, net::Endpoint(address), *this) {}
+        connection_(owner.loop_, net::Endpoint(address), *this, owner.limits_.purpose) {}
 
   void start(Exchange& exchange, Listener& listener, std::string_view head,
              std::shared_ptr<const std::string> body) {
@@ -53,6 +53,7 @@
     owner_.discard(*this);
   }
   void hold_back(bool on) { connection_.read(!on); }
+  void ends_soon() { timer_.start(owner_.limits_.head); }
   const std::string& address() const { return address_; }
   bool silent() const { return connection_.silent(); }
 
@@ -115,6 +116,7 @@
 
   // The answer is whole; the connection can serve again if both sides are through with this exchange.
   void finish() {
+    timer_.stop();
     const bool reusable = !closes_ && connection_.unsent() == 0 && evbuffer_get_length(connection_.input()) == 0;
     Listener& listener = *listener_;
     exchange_->connection_ = nullptr;
@@ -130,6 +132,7 @@
 
   void end(Ending how) {
     Listener* listener = exchange_ ? listener_ : nullptr;
+    if (how == Ending::malformed) owner_.loop_.tally().count(net::Overdone::bad_answer);  // the core logs the attempt
     if (exchange_) exchange_->connection_ = nullptr;
     exchange_ = nullptr;
     timer_.stop();
@@ -154,6 +157,9 @@
 void Exchange::hold_back(bool on) {
   if (connection_) connection_->hold_back(on);
 }
+void Exchange::ends_soon() {
+  if (connection_) connection_->ends_soon();
+}
 
 std::optional<Passed> Exchange::passable() const {
   return connection_ ? connection_->passable() : std::nullopt;
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -37,7 +37,8 @@
   microseconds connect_timeout{std::chrono::milliseconds(250)};
   microseconds idle{std::chrono::seconds(8)};  // idle connections are retired after it
   std::size_t idle_most = 64;                  // of all addresses together
-  microseconds head{std::chrono::seconds(1)};  // for a head to end that has begun
+  microseconds head{std::chrono::seconds(1)};  // for a head to end that has begun, and an answer that is no stream
+  net::Purpose purpose = net::Purpose::discovery;
 };
 
 class PooledConnection;
@@ -47,6 +48,7 @@
  public:
   ~Exchange();
   void hold_back(bool on);  // stops or goes on reading the answer
+  void ends_soon();         // its answer is no stream: it is malformed if it does not end as soon as a head has to
   std::optional<Passed> passable() const;  // between two chunks of an answer, with nothing read ahead
   void passed();                           // its connection is another process's now
 
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -15,6 +15,10 @@
     listeners_.push_back(given ? std::make_unique<net::Listener>(loop, address, *options_.inherited, accepted)
                                : std::make_unique<net::Listener>(loop, address, accepted, options_.inherited.has_value()));
   }
+  short_ = loop_.reserve().on_short([this] {
+    for (const auto& listener : listeners_) listener->rest();
+    admission_.let_go();
+  });
 }
 Front::~Front() = default;
 
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -47,9 +47,11 @@
   Conductor& conductor_;
   Options options_;
   bool draining_ = false;
+  std::size_t bodies_ = 0;  // bytes of requests that are coming or at work
   net::Admission admission_;
   std::map<ClientConnection*, std::unique_ptr<ClientConnection>> connections_;
   std::vector<std::unique_ptr<net::Listener>> listeners_;
+  net::Reserve::Handle short_;
 };
 
 }  // namespace lemonroute::http
--- a/src/http/node_client.h
+++ b/src/http/node_client.h
@@ -8,7 +8,7 @@
 
 class NodeClient : public Nodes {
  public:
-  NodeClient(net::Loop& loop, ClientLimits limits) : client_(loop, limits) {}
+  NodeClient(net::Loop& loop, ClientLimits limits) : client_(loop, for_nodes(limits)) {}
   std::unique_ptr<Call> begin(const Node& node, const Prompt& prompt, Micros within,
                               Attempt& attempt) override;
   std::unique_ptr<Call> release(const Node& node, const std::string& id,
@@ -21,6 +21,10 @@
   }
 
  private:
+  static ClientLimits for_nodes(ClientLimits limits) {
+    limits.purpose = net::Purpose::nodes;
+    return limits;
+  }
   Client client_;
 };
 
--- a/src/net/admission.cpp
+++ b/src/net/admission.cpp
@@ -1,10 +1,9 @@
 #include "net/admission.h"
 
 #include <algorithm>
+#include <sstream>
 #include <utility>
 
-#include "base/log.h"
-
 namespace lemonroute::net {
 namespace {
 
@@ -16,11 +15,12 @@
 // Whoever connects in order to ask has asked by then.
 constexpr Micros prove_within = milliseconds(500);
 constexpr Micros look_again = milliseconds(50);
+constexpr std::size_t let_go_at_once = 4;
 
 }  // namespace
 
 Admission::Admission(Loop& loop, std::size_t most, std::function<void(bool)> pause, Now now)
-    : most_(most), pause_(std::move(pause)), now_(std::move(now)), again_(loop, [this] { make_room(); }) {}
+    : most_(most), tally_(loop.tally()), pause_(std::move(pause)), now_(std::move(now)), again_(loop, [this] { make_room(); }) {}
 
 void Admission::limit(std::size_t most) {
   most_ = most;
@@ -53,6 +53,16 @@
   go_on();
 }
 
+void Admission::let_go() {
+  for (std::size_t n = 0; n < let_go_at_once; ++n) {
+    auto& from = !leaving_.empty() ? leaving_ : resting_;
+    if (from.empty()) return;
+    Guest& first = *from.front();
+    first.dismiss();
+    if (!leaving_.empty() && leaving_.back() == &first) first.dismiss();  // its descriptor is wanted now
+  }
+}
+
 void Admission::go_on() {
   if (taken() >= most_) return;
   again_.stop();
@@ -74,8 +84,10 @@
     if (!dismiss_first(resting_, rest_at_least) && !dismiss_first(unproven_, prove_within)) break;
   if (taken() < most_) return;
   if (!std::exchange(paused_, true)) {
-    logging::info() << "all " << most_ << " places are taken, " << resting_.size() << " by connections at rest, "
-                    << unproven_.size() << " by such that have not asked; newcomers wait";
+    std::ostringstream how;
+    how << "all " << most_ << " are taken, " << resting_.size() << " by connections at rest, " << unproven_.size()
+        << " by such that have not asked";
+    tally_.note(Overdone::crowded, how.str());
     pause_(true);
   }
   again_.start(look_again);
--- a/src/net/admission.h
+++ b/src/net/admission.h
@@ -37,6 +37,9 @@
   // an eighth of the places; beyond that the one that has been leaving longest goes.
   void leaving(Guest& guest);
   void left(Guest& guest);
+  // Descriptors run short, places or not: a few leave at once, those that leave already first, then the ones longest at
+  // rest. Nobody with a request open does.
+  void let_go();
   bool crowded() const { return taken() > most_ / 2; }  // answers had better end their connections
   std::size_t free() const { return taken() < most_ ? most_ - taken() : 0; }
 
@@ -48,6 +51,7 @@
   std::size_t taken() const { return present_ - leaving_.size(); }
 
   std::size_t most_, present_ = 0;
+  Tally& tally_;
   std::function<void(bool)> pause_;
   const Now now_;
   bool paused_ = false;
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -4,6 +4,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <cerrno>
 #include <cstring>
 #include <stdexcept>
 
@@ -14,6 +15,8 @@
 
 constexpr std::chrono::milliseconds out_of_descriptors_rest{50};
 
+bool out_of_descriptors(int error) { return error == EMFILE || error == ENFILE; }
+
 void no_delay(evutil_socket_t fd) {
   const int on = 1;
   setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
@@ -39,12 +42,20 @@
   set_up(handler);
 }
 
-Connection::Connection(Loop& loop, const Endpoint& to, Handler& handler)
+Connection::Connection(Loop& loop, const Endpoint& to, Handler& handler, Purpose purpose)
     : bev_(bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE)) {
-  const evutil_socket_t fd = socket(to.address()->sa_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  const auto make = [&] { return socket(to.address()->sa_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0); };
+  evutil_socket_t fd = make();
+  if (fd < 0 && out_of_descriptors(errno)) {
+    // Guards what has to go on when clients have filled the table: without a socket to discovery they never go.
+    const int why = errno;
+    if (loop.reserve().lend(purpose)) fd = make();
+    else errno = why;
+    loop.reserve().run_short();
+  }
   if (fd < 0) {
     started_ = false;
-    logging::warn() << "no socket for a new connection: " << std::strerror(errno);
+    loop.tally().note(Overdone::no_socket, std::strerror(errno));
     return;
   }
   no_delay(fd);
@@ -147,7 +158,7 @@
 }  // namespace
 
 Listener::Listener(Loop& loop, const std::string& address, Accepted accepted, bool shared)
-    : accepted_(std::move(accepted)), rest_(loop, [this] { pause(paused_); }) {
+    : loop_(loop), accepted_(std::move(accepted)), rest_(loop, [this] { end_rest(); }) {
   const Endpoint at(address);
   const unsigned options = LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE |
                            (shared ? static_cast<unsigned>(LEV_OPT_REUSEABLE_PORT) : 0u);
@@ -161,7 +172,7 @@
 // Nothing is done to the socket that its other holders would feel. Not blocking is the one thing that they share
 // and that is needed: of two processes that wake for one connection, the second would hang in accept.
 Listener::Listener(Loop& loop, const std::string& address, evutil_socket_t inherited, Accepted accepted)
-    : accepted_(std::move(accepted)), rest_(loop, [this] { pause(paused_); }) {
+    : loop_(loop), accepted_(std::move(accepted)), rest_(loop, [this] { end_rest(); }) {
   check_inherited(inherited, Endpoint(address), address);
   evutil_make_socket_nonblocking(inherited);
   evutil_make_socket_closeonexec(inherited);
@@ -177,14 +188,27 @@
 }
 
 void Listener::made() {
-  evconnlistener_set_error_cb(listener_.get(), [](evconnlistener* listener, void* self) {
-    // Guards against a full descriptor table: the waiting connection stays readable, and the loop would spin
-    // on it without serving the requests whose end frees descriptors.
-    logging::warn() << "a connection could not be taken: "
-                    << evutil_socket_error_to_string(EVUTIL_SOCKET_ERROR());
-    evconnlistener_disable(listener);
-    static_cast<Listener*>(self)->rest_.start(out_of_descriptors_rest);
-  });
+  evconnlistener_set_error_cb(listener_.get(),
+                              [](evconnlistener*, void* self) { static_cast<Listener*>(self)->failed(); });
+}
+
+void Listener::failed() {
+  const int why = EVUTIL_SOCKET_ERROR();
+  if (always_ && out_of_descriptors(why) && loop_.reserve().lend(Purpose::management)) return;  // the loop comes again
+  loop_.tally().note(Overdone::not_taken, evutil_socket_error_to_string(why));
+  rest();
+  if (out_of_descriptors(why)) loop_.reserve().run_short();
+}
+
+// Guards against a full descriptor table: the waiting connection stays readable, and the loop would spin on it without
+// serving the requests whose end frees descriptors.
+void Listener::rest() {
+  evconnlistener_disable(listener_.get());
+  rest_.start(out_of_descriptors_rest);
+}
+void Listener::end_rest() {
+  if (!always_ && !loop_.reserve().whole()) return rest_.start(out_of_descriptors_rest);
+  pause(paused_);
 }
 
 std::uint16_t Listener::port() const {
@@ -206,7 +230,7 @@
 
 void Listener::pause(bool on) {
   paused_ = on;
-  if (on) evconnlistener_disable(listener_.get());
+  if (on || rest_.pending()) evconnlistener_disable(listener_.get());
   else evconnlistener_enable(listener_.get());
 }
 
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -40,7 +40,8 @@
   };
 
   Connection(Loop& loop, evutil_socket_t accepted, Handler& handler);
-  Connection(Loop& loop, const Endpoint& to, Handler& handler);  // connects
+  // Connects. Out of descriptors it may use one that is kept back for its purpose.
+  Connection(Loop& loop, const Endpoint& to, Handler& handler, Purpose purpose = Purpose::nodes);
   Connection(const Connection&) = delete;
   Connection& operator=(const Connection&) = delete;
 
@@ -89,6 +90,8 @@
   // Those that have arrived at this socket alone would be lost with it; so many at the most.
   void take_waiting(std::size_t most = SIZE_MAX);
   void pause(bool on);
+  void rest();  // for a moment, and until the descriptors that are kept back are whole
+  void serve_always() { always_ = true; }  // its peers may use descriptors that are kept back: few and bounded ones
 
  private:
   struct Free {
@@ -96,9 +99,12 @@
   };
   static void taken(evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* self);
   void made();
+  void failed();
+  void end_rest();
+  Loop& loop_;
   Accepted accepted_;
   Timer rest_;
-  bool paused_ = false;
+  bool paused_ = false, always_ = false;
   std::unique_ptr<evconnlistener, Free> listener_;
 };
 
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -32,6 +32,7 @@
   deferred_event_.reset(event_new(
       base_.get(), -1, 0, [](evutil_socket_t, short, void* self) { static_cast<Loop*>(self)->run_deferred(); },
       this));
+  reserve_ = std::make_unique<Reserve>(*this);
 }
 
 Loop::~Loop() {
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -9,6 +9,9 @@
 #include <utility>
 #include <vector>
 
+#include "net/reserve.h"
+#include "net/tally.h"
+
 namespace lemonroute::net {
 
 using Micros = std::chrono::microseconds;
@@ -28,6 +31,8 @@
   Loop& operator=(const Loop&) = delete;
 
   event_base* base() const { return base_.get(); }
+  Tally& tally() { return tally_; }
+  Reserve& reserve() { return *reserve_; }
   void run();
   void run_once();  // waits for one round of events and handles it
   void stop();
@@ -48,6 +53,8 @@
   std::unique_ptr<event_base, BaseFree> base_;
   EventPtr deferred_event_;
   std::vector<std::function<void()>> deferred_;
+  Tally tally_;
+  std::unique_ptr<Reserve> reserve_;
 };
 
 class Timer {
--- a/src/ops/management.cpp
+++ b/src/ops/management.cpp
@@ -83,6 +83,7 @@
                        std::function<Reloads()> reloads, Fleet fleet)
     : loop_(loop), conductor_(conductor), status_(status), reloads_(std::move(reloads)), fleet_(std::move(fleet)) {
   listener_ = std::make_unique<net::Listener>(loop, listen, [this](evutil_socket_t fd) { accept(fd); });
+  listener_->serve_always();
 }
 Management::~Management() = default;
 
@@ -126,7 +127,13 @@
   for (const auto& [name, counts] : figures.classes)
     transactions[name] = {
         {"answered", counts.answered}, {"deferred", counts.deferred}, {"errored", counts.errored}};
-  const nlohmann::json all{{"transactions", transactions},
+  auto peers = nlohmann::json::object();
+  for (std::size_t i = 0; i < net::Tally::kinds; ++i) {
+    const auto kind = static_cast<net::Overdone>(i);
+    peers[std::string(net::Tally::name(kind))] = loop_.tally().counted(kind);
+  }
+  const nlohmann::json all{{"bad_peers", peers},
+                           {"transactions", transactions},
                            {"sends", figures.sends},
                            {"current", figures.current},
                            {"cluster_size", figures.listed},
