An answer that is no stream has to end within 1 s of its head

Cause: after a head nothing bounded the time of the body. A 202 or 500 whose body never ends held its request up until the attempt's time ran out, though the status was clear. Change: it counts as malformed, a failed attempt that may have run. Measured: http_endless_answer.scn hangs without the line in node_client.cpp.

--- a/src/http/node_client.cpp
+++ b/src/http/node_client.cpp
@@ -88,6 +88,9 @@
       result_.unfit = blames_request(status_);
     }
     result_.detail = "status " + std::to_string(status_);
+    // Guards against an answer whose status is clear and whose body never ends: it held the request up for as long as
+    // the attempt may take.
+    if (!streams_) exchange_->ends_soon();
   }
 
   void body(std::string_view piece) override {
@@ -155,6 +158,7 @@
   void head(const Head& head) override {
     status_ = head.status;
     load_ = head.field("Srv-Load");
+    exchange_->ends_soon();
   }
   void body(std::string_view piece) override {
     if (text_.size() + piece.size() <= most_answer) text_ += piece;
