A client is read while its request is open, so its going is seen; its floods are bounded

Cause: reading stopped at 32 KiB of input (the watermark), and a client that is not read is not seen to go, while its answer is held back or its request waits. A client that had gone while it waited in the listener's queue had its request sent on.

A request is not taken if its client's end is next to be read. Bodies of all clients together are bounded by 64 MiB, beyond that 503 with Retry-After. Lines about bad clients go through net::Tally. A half-close still counts as gone.

Measured: tests/edges/gone fails without the reading on (the client's bytes are never taken) and without the look before a request is taken; tests/edges/floods without each bound and without the limit on lines.

--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -2,7 +2,6 @@
 
 #include <sstream>
 
-#include "base/log.h"
 #include "http/front.h"
 #include "http/inquiry.h"
 
@@ -10,10 +9,9 @@
 namespace {
 
 constexpr std::size_t most_unsent = 64 * 1024;  // of an answer, before the node has to wait
-constexpr std::size_t most_input = 32 * 1024;   // read ahead of a connection
-// After our end the peer has so long to end as well, and may finish sending so much of a request already answered.
-constexpr Micros linger_for = std::chrono::seconds(1);
-constexpr std::size_t most_drained = 1024 * 1024;
+constexpr std::size_t most_input = 64 * 1024;   // twice what is kept behind an open request
+constexpr Micros cut_within = std::chrono::seconds(1);  // for the events before a cut to be taken
+constexpr std::size_t most_bodies = 64 * 1024 * 1024;  // of all clients together, unfinished ones and those at work
 constexpr double characters_a_token = 4;
 
 }  // namespace
@@ -31,6 +29,7 @@
   keep_ = !closes_;
 }
 ClientConnection::~ClientConnection() {
+  forget_body();
   if (state_ == State::waiting || state_ == State::streaming) front_.conductor_.gone(id_);
 }
 
@@ -41,29 +40,12 @@
   return false;
 }
 
-// Who has begun a request hears that it was not taken, instead of an end without a word.
-void ClientConnection::dismiss() {
-  if (leaving()) return close();
-  if (!in_request_) return half_close();
-  keep_ = false;
-  answer(503, "Retry-After: 0.1\r\n");
-  connection_.push();
-  if (state_ != State::ending) return;
-  if (connection_.unsent() > 0) return close();
-  finish_ending();
-}
-
-void ClientConnection::close() {
-  const State was = std::exchange(state_, State::closed);
-  if (was == State::waiting || was == State::streaming) front_.conductor_.gone(id_);
-  front_.discard(*this);
-}
-
 // ---- what comes in ----
 
 void ClientConnection::on_readable() {
   if (state_ == State::head) read_head();
   if (state_ == State::body) read_body();
+  if (state_ == State::waiting || state_ == State::streaming) return read_ahead();
   if (state_ == State::lingering) drop_input();
 }
 
@@ -100,8 +82,17 @@
 void ClientConnection::read_body() {
   const auto state = body_.take(connection_.input(), [this](std::string_view piece) {
     text_->append(piece);
+    body_size_ += piece.size();
+    front_.bodies_ += piece.size();
     return true;
   });
+  // Guards the memory against bodies that come at all places at once; trying again is harmless.
+  if (front_.bodies_ > most_bodies) {
+    forget_body();
+    front_.loop_.tally().note(net::Overdone::no_memory);
+    keep_ = false;
+    return answer(503, "Retry-After: 1\r\n");
+  }
   if (state == Body::State::fault) return answer_and_close(static_cast<int>(body_.fault()));
   if (state == Body::State::more) return;
   timer_.stop();
@@ -109,6 +100,8 @@
   asked_ = whole_ = true;
   front_.admission_.busy(*this);
   if (status_ != 0) return answer(status_);
+  // Who had gone before its request was read, in the listener's queue or while this process did not run, wants nothing.
+  if (connection_.ended()) return close();
   inquiry_.prompt.body = std::move(text_);
   if (inquiry_.prompt_tokens == 0)
     inquiry_.prompt_tokens = static_cast<double>(inquiry_.prompt.body->size()) / characters_a_token;
@@ -124,11 +117,15 @@
     front_.conductor_.drained(id_);
   }
 }
+// A peer that ends only its sending counts as gone as well: nothing tells it from one that closed, until something is
+// written to it, and a request that goes on for a client that has gone costs nodes more than the few that half-close.
 void ClientConnection::on_closed() {
   if (state_ != State::closed) close();
 }
 void ClientConnection::on_timer() {
-  if (state_ == State::streaming) logging::info() << "a client takes nothing, " << inquiry_.prompt.id;
+  if (state_ == State::streaming || state_ == State::ending)
+    front_.loop_.tally().note(net::Overdone::takes_nothing, inquiry_.prompt.id);
+  if (state_ == State::head && !asked_ && !in_request_) front_.loop_.tally().note(net::Overdone::silent);
   if (in_request_ && (state_ == State::head || state_ == State::body)) return answer_and_close(408);
   if (state_ == State::head) return half_close();
   close();
@@ -182,7 +179,7 @@
 }
 void ClientConnection::cut() {
   // No last chunk: the client must see that the stream is not whole, and see it now.
-  begin_ending(linger_for);
+  begin_ending(cut_within);
 }
 
 // Guards against clients that ask once and stay: by the time their places are needed there may be hundreds
@@ -200,7 +197,8 @@
   complete(closes);
 }
 void ClientConnection::answer_and_close(int status) {
-  logging::info() << "a client's request is not understood: " << status;
+  front_.loop_.tally().note(status == 408 ? net::Overdone::too_slow : net::Overdone::not_understood,
+                            std::to_string(status));
   keep_ = false;
   answer(status);
 }
@@ -209,6 +207,7 @@
 void ClientConnection::complete(bool closes) {
   timer_.stop();
   in_request_ = false;
+  forget_body();
   // Guards against a stream whose head went out before the program began to drain and so did not say that the
   // connection ends: the client would ask again on it, of a process that is about to end.
   if (closes || front_.draining_) return begin_ending(front_.options_.sending);
@@ -218,40 +217,4 @@
   if (evbuffer_get_length(connection_.input()) > 0) connection_.poke();
 }
 
-// What comes from now on belongs to no answer of this connection, unless its request is not whole.
-void ClientConnection::begin_ending(Micros within) {
-  state_ = State::ending;
-  if (whole_) connection_.read(false);
-  timer_.start(within);
-  if (connection_.unsent() == 0) finish_ending();
-}
-
-// All has been sent. Closing with bytes unread would reset the connection and could take the answer with it, so our
-// end is told first, and the peer's waited for. Danger: a request that is in the kernel by then, or comes while we
-// wait. It could not be answered, so it must not be sent on; and read here it would be lost, while a client whose
-// request was not read sends it again elsewhere. Only what belongs to a request that has had its answer is read.
-void ClientConnection::finish_ending() {
-  if (whole_ && evbuffer_get_length(connection_.input()) == 0) return half_close();
-  state_ = State::lingering;
-  connection_.read(true);
-  connection_.end_sending();
-  timer_.start(linger_for);
-  front_.admission_.leaving(*this);
-  if (state_ == State::lingering) drop_input();
-}
-
-void ClientConnection::half_close() {
-  state_ = State::half_closed;
-  connection_.end_sending();
-  connection_.leave_unread();
-  timer_.start(linger_for);
-  front_.admission_.leaving(*this);
-}
-
-void ClientConnection::drop_input() {
-  const std::size_t size = evbuffer_get_length(connection_.input());
-  evbuffer_drain(connection_.input(), size);
-  if ((drained_ += size) > most_drained) close();
-}
-
 }  // namespace lemonroute::http
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -57,6 +57,9 @@
   void begin_ending(Micros within);
   void finish_ending();
   void drop_input();
+  void read_ahead();
+  void overdone();
+  void forget_body();
 
   Front& front_;
   State state_ = State::head;
@@ -64,10 +67,11 @@
   Inquiry inquiry_;
   int status_ = 0;
   bool keep_ = true, closes_ = false, in_request_ = false, asked_ = false, whole_ = false, held_back_ = false;
-  std::size_t drained_ = 0;  // bytes dropped since our end
+  std::size_t dropped_ = 0;  // bytes read and never looked at
   std::size_t scanned_ = 0;
   Body body_;
   std::shared_ptr<std::string> text_;
+  std::size_t body_size_ = 0;  // what it holds of Front::bodies_
   net::Timer timer_;
   net::Connection connection_;
 };
