--- a/src/cli/limits.cpp
+++ b/src/cli/limits.cpp
@@ -2,6 +2,7 @@
 
 #include "grpc/node_client.h"
 #include "http/node_client.h"
+#include "net/reserve.h"
 #include "ops/management.h"
 
 namespace lemonroute::cli {
@@ -9,7 +10,7 @@
 
 // Descriptors: some for the program itself and for management callers; of the rest two fifths for clients, as
 // many for the calls made for them, an eighth for idle connections.
-constexpr std::size_t own_descriptors = 16 + ops::Management::most_callers;
+constexpr std::size_t own_descriptors = 16 + net::Reserve::usual + ops::Management::most_callers;
 std::size_t shared_descriptors(const config::Platform& platform) {
   return platform.sockets - std::min(own_descriptors, platform.sockets / 2);
 }
--- a/src/cli/program.cpp
+++ b/src/cli/program.cpp
@@ -65,6 +65,7 @@
         interrupt_(loop_, SIGINT, [this] { drain("SIGINT"); }),
         hang_up_(loop_, SIGHUP, [this] { reload(); }) {
     say_unused(platform);
+    loop_.reserve().keep(net::Reserve::usual);
     if (!settings.grpc_listen.empty()) {
       grpc_ = std::make_unique<Grpc>(*this, settings);
       logging::info() << "gRPC on " << settings.grpc_listen;
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -4,6 +4,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <cerrno>
 #include <cstring>
 #include <stdexcept>
 
@@ -14,6 +15,8 @@
 
 constexpr std::chrono::milliseconds out_of_descriptors_rest{50};
 
+bool out_of_descriptors(int error) { return error == EMFILE || error == ENFILE; }
+
 void no_delay(evutil_socket_t fd) {
   const int on = 1;
   setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
@@ -39,12 +42,20 @@
   set_up(handler);
 }
 
-Connection::Connection(Loop& loop, const Endpoint& to, Handler& handler)
+Connection::Connection(Loop& loop, const Endpoint& to, Handler& handler, Purpose purpose)
     : bev_(bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE)) {
-  const evutil_socket_t fd = socket(to.address()->sa_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  const auto make = [&] { return socket(to.address()->sa_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0); };
+  evutil_socket_t fd = make();
+  if (fd < 0 && out_of_descriptors(errno)) {
+    // Guards what has to go on when clients have filled the table: without a socket to discovery they never go.
+    const int why = errno;
+    if (loop.reserve().lend(purpose)) fd = make();
+    else errno = why;
+    loop.reserve().run_short();
+  }
   if (fd < 0) {
     started_ = false;
-    logging::warn() << "no socket for a new connection: " << std::strerror(errno);
+    loop.tally().note(Overdone::no_socket, std::strerror(errno));
     return;
   }
   no_delay(fd);
@@ -89,6 +100,23 @@
          recv(bufferevent_getfd(bev_.get()), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
          (errno == EAGAIN || errno == EWOULDBLOCK);
 }
+bool Connection::ended() const {
+  char byte = 0;
+  const auto got = recv(bufferevent_getfd(bev_.get()), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+// Once: with bytes in front of it the end can't be seen without reading them, and the loop would spin on them.
+void Connection::leave_unread() {
+  bufferevent_disable(bev_.get(), EV_READ);
+  end_.reset(event_new(
+      bufferevent_get_base(bev_.get()), descriptor(), EV_READ,
+      [](evutil_socket_t, short, void* self) {
+        auto* connection = static_cast<Connection*>(self);
+        if (connection->ended()) connection->handler_->on_closed();
+      },
+      this));
+  event_add(end_.get(), nullptr);
+}
 void Connection::push() {
   evbuffer* output = bufferevent_get_output(bev_.get());
   if (evbuffer_get_length(output) == 0) return;
@@ -130,7 +158,7 @@
 }  // namespace
 
 Listener::Listener(Loop& loop, const std::string& address, Accepted accepted, bool shared)
-    : accepted_(std::move(accepted)), rest_(loop, [this] { pause(paused_); }) {
+    : loop_(loop), accepted_(std::move(accepted)), rest_(loop, [this] { end_rest(); }) {
   const Endpoint at(address);
   const unsigned options = LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE |
                            (shared ? static_cast<unsigned>(LEV_OPT_REUSEABLE_PORT) : 0u);
@@ -144,7 +172,7 @@
 // Nothing is done to the socket that its other holders would feel. Not blocking is the one thing that they share
 // and that is needed: of two processes that wake for one connection, the second would hang in accept.
 Listener::Listener(Loop& loop, const std::string& address, evutil_socket_t inherited, Accepted accepted)
-    : accepted_(std::move(accepted)), rest_(loop, [this] { pause(paused_); }) {
+    : loop_(loop), accepted_(std::move(accepted)), rest_(loop, [this] { end_rest(); }) {
   check_inherited(inherited, Endpoint(address), address);
   evutil_make_socket_nonblocking(inherited);
   evutil_make_socket_closeonexec(inherited);
@@ -160,14 +188,27 @@
 }
 
 void Listener::made() {
-  evconnlistener_set_error_cb(listener_.get(), [](evconnlistener* listener, void* self) {
-    // Guards against a full descriptor table: the waiting connection stays readable, and the loop would spin
-    // on it without serving the requests whose end frees descriptors.
-    logging::warn() << "a connection could not be taken: "
-                    << evutil_socket_error_to_string(EVUTIL_SOCKET_ERROR());
-    evconnlistener_disable(listener);
-    static_cast<Listener*>(self)->rest_.start(out_of_descriptors_rest);
-  });
+  evconnlistener_set_error_cb(listener_.get(),
+                              [](evconnlistener*, void* self) { static_cast<Listener*>(self)->failed(); });
+}
+
+void Listener::failed() {
+  const int why = EVUTIL_SOCKET_ERROR();
+  if (always_ && out_of_descriptors(why) && loop_.reserve().lend(Purpose::management)) return;  // the loop comes again
+  loop_.tally().note(Overdone::not_taken, evutil_socket_error_to_string(why));
+  rest();
+  if (out_of_descriptors(why)) loop_.reserve().run_short();
+}
+
+// Guards against a full descriptor table: the waiting connection stays readable, and the loop would spin on it without
+// serving the requests whose end frees descriptors.
+void Listener::rest() {
+  evconnlistener_disable(listener_.get());
+  rest_.start(out_of_descriptors_rest);
+}
+void Listener::end_rest() {
+  if (!always_ && !loop_.reserve().whole()) return rest_.start(out_of_descriptors_rest);
+  pause(paused_);
 }
 
 std::uint16_t Listener::port() const {
@@ -178,8 +219,8 @@
                                         : reinterpret_cast<sockaddr_in&>(at).sin_port);
 }
 
-void Listener::take_waiting() {
-  for (;;) {
+void Listener::take_waiting(std::size_t most) {
+  for (; most > 0; --most) {
     const evutil_socket_t fd =
         accept4(evconnlistener_get_fd(listener_.get()), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (fd < 0) return;
@@ -189,7 +230,7 @@
 
 void Listener::pause(bool on) {
   paused_ = on;
-  if (on) evconnlistener_disable(listener_.get());
+  if (on || rest_.pending()) evconnlistener_disable(listener_.get());
   else evconnlistener_enable(listener_.get());
 }
 
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -6,6 +6,7 @@
 #include <event2/listener.h>
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -39,13 +40,15 @@
   };
 
   Connection(Loop& loop, evutil_socket_t accepted, Handler& handler);
-  Connection(Loop& loop, const Endpoint& to, Handler& handler);  // connects
+  // Connects. Out of descriptors it may use one that is kept back for its purpose.
+  Connection(Loop& loop, const Endpoint& to, Handler& handler, Purpose purpose = Purpose::nodes);
   Connection(const Connection&) = delete;
   Connection& operator=(const Connection&) = delete;
 
   bool started() const { return started_; }  // false: not even a socket could be had
   evbuffer* input() { return bufferevent_get_input(bev_.get()); }
   bool silent() const;  // nothing has come in, not even an end
+  bool ended() const;   // the peer's end, or an error, is what would be read next
   evutil_socket_t descriptor() const { return bufferevent_getfd(bev_.get()); }
   bool at_rest() const {  // nothing that has come or is to go is held here
     return unsent() == 0 && evbuffer_get_length(bufferevent_get_input(bev_.get())) == 0;
@@ -58,6 +61,9 @@
   void read(bool on);              // backpressure: off leaves bytes with the sender
   void limit_input(std::size_t n);  // most bytes buffered here before the sender has to wait
   void end_sending();
+  // From now on nothing is read: what comes stays with the kernel, for a peer that may then send it elsewhere.
+  // on_closed tells of the peer's end, unless something came before it.
+  void leave_unread();
   void push();  // writes what the kernel takes of it at once, before a close that would drop it
   void poke();  // calls on_readable again, from the loop, for bytes that have been left in input()
 
@@ -68,6 +74,7 @@
   void set_up(Handler& handler);
   std::unique_ptr<bufferevent, Free> bev_;
   Handler* handler_ = nullptr;
+  EventPtr end_;
   bool started_ = true;
 };
 
@@ -80,8 +87,11 @@
   // A socket that somebody else holds too and that listens on `address`; throws if it is anything else.
   Listener(Loop& loop, const std::string& address, evutil_socket_t inherited, Accepted accepted);
   std::uint16_t port() const;
-  void take_waiting();  // those that have arrived at this socket alone would be lost with it
+  // Those that have arrived at this socket alone would be lost with it; so many at the most.
+  void take_waiting(std::size_t most = SIZE_MAX);
   void pause(bool on);
+  void rest();  // for a moment, and until the descriptors that are kept back are whole
+  void serve_always() { always_ = true; }  // its peers may use descriptors that are kept back: few and bounded ones
 
  private:
   struct Free {
@@ -89,9 +99,12 @@
   };
   static void taken(evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* self);
   void made();
+  void failed();
+  void end_rest();
+  Loop& loop_;
   Accepted accepted_;
   Timer rest_;
-  bool paused_ = false;
+  bool paused_ = false, always_ = false;
   std::unique_ptr<evconnlistener, Free> listener_;
 };
 
