gRPC session and node client split by what they decide

Sessions: life of a connection, what goes out, what comes in, what a client may do. Node client: which connection a call gets, and the calls themselves. Moves only; constants that two files need are the class's own.

--- a/src/grpc/node_client.cpp
+++ b/src/grpc/node_client.cpp
@@ -1,8 +1,6 @@
 #include "grpc/node_client.h"
 
-#include <charconv>
-
-#include "grpc/compression.h"
+#include "grpc/node_client/calls.h"
 #include "proto/lemonroute.pb.h"
 
 namespace lemonroute::grpc {
@@ -10,187 +8,6 @@
 
 constexpr std::chrono::seconds retire_every{1};
 
-enum class Ending { whole, not_sent, broken, malformed };
-
-// One call to a node. Letting go of it resets the stream, which gives the call up.
-class NodeCall : public Call, StreamEvents {
- public:
-  // `over` hears once that the call is, and whether the node said anything to it.
-  NodeCall(Session& session, std::string_view authority, std::string_view method, std::string framed,
-           Headers more, std::function<void(bool answered)> over)
-      : session_(&session), over_(std::move(over)) {
-    Headers headers{{":method", "POST"},
-                    {":scheme", "http"},
-                    {":path", "/lemonroute.v1.Node/" + std::string(method)},
-                    {":authority", std::string(authority)},
-                    {"content-type", "application/grpc"},
-                    {"te", "trailers"},
-                    {"grpc-accept-encoding", std::string(accepted_encodings)}};
-    headers.insert(headers.end(), more.begin(), more.end());
-    id_ = session.request(headers, std::move(framed), *this);
-  }
-  ~NodeCall() override {
-    leave();
-    if (!session_) return;
-    session_->reset(id_, NGHTTP2_CANCEL);
-    // Guards against a connection that has gone silent: unlike HTTP/1.1, giving a call up leaves it open, and
-    // every later call would wait on it in vain.
-    session_->check_alive();
-  }
-  void hold_back(bool on) override {
-    if (session_) session_->hold_back(id_, on);
-  }
-
- protected:
-  struct End {
-    Ending how;
-    int status;       // of gRPC
-    bool declined;    // before it ran
-    std::string load;
-  };
-  virtual bool message(std::string_view bytes) = 0;  // false: it can't be read
-  virtual void ended(const End& end) = 0;  // this call may be gone after it
-  void forget_load() { end_.load.clear(); }
-
- private:
-  void leave() {
-    if (const auto over = std::exchange(over_, {})) over(answered_);
-  }
-  void headers(const Headers& headers) override {
-    answered_ = true;
-    if (const auto name = find(headers, "grpc-encoding"); !name.empty())
-      reader_.encoding(parse_encoding(name).value_or(Encoding::identity));
-    if (const auto load = find(headers, "srv-load"); !load.empty()) end_.load = load;
-    end_.declined = end_.declined || find(headers, "srv-declined") == "1";
-    const auto text = find(headers, "grpc-status");
-    int status = 0;
-    if (std::from_chars(text.data(), text.data() + text.size(), status).ec == std::errc() && !text.empty())
-      end_.status = status;
-    has_status_ = has_status_ || !text.empty();
-  }
-  void data(std::string_view piece) override {
-    // Guards against a stream that goes on after a message that can't be read: it is over there and then.
-    const auto fault = reader_.feed(piece, [this](std::string_view bytes) { malformed_ |= !message(bytes); });
-    if (!fault && !malformed_) return;
-    std::exchange(session_, nullptr)->reset(id_, NGHTTP2_CANCEL);
-    end_.how = Ending::malformed;
-    leave();
-    ended(end_);
-  }
-  void closed(std::uint32_t code, bool sent) override {
-    session_ = nullptr;
-    if (has_status_) end_.how = Ending::whole;
-    // Whatever the code says: of one that was answered it can't be true that it was not handled.
-    else if (!sent && !answered_) end_.how = Ending::not_sent;
-    else end_.how = code == 0 ? Ending::malformed : Ending::broken;
-    leave();
-    ended(end_);
-  }
-
-  Session* session_;
-  std::int32_t id_ = 0;
-  bool malformed_ = false, has_status_ = false, answered_ = false;
-  std::function<void(bool)> over_;
-  MessageReader reader_;
-  End end_{Ending::broken, 2, false, {}};
-};
-
-class RunCall : public NodeCall {
- public:
-  RunCall(Session& session, const Node& node, const Prompt& prompt, Micros within, Attempt& attempt,
-          std::function<void(bool)> over)
-      : NodeCall(session, node.address, "Run", frame(request(prompt)),
-                 {{"grpc-timeout", timeout_text(within)}, {"req-id", prompt.id}}, std::move(over)),
-        attempt_(attempt) {}
-
- private:
-  void written() override { attempt_.written(); }
-  static v1::RunRequest request(const Prompt& prompt) {
-    v1::RunRequest request;
-    request.set_id(prompt.id);
-    request.set_target(prompt.target);
-    request.set_body(*prompt.body);
-    return request;
-  }
-  bool message(std::string_view bytes) override {
-    v1::RunEvent event;
-    if (!event.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) return false;
-    if (event.has_read()) {
-      read_ = true;
-      result_.kept = event.read().cached_tokens();
-    } else if (event.kind_case() == v1::RunEvent::kData) {
-      // Guards the age of reports: what the head told is as old as the stream by the time the attempt ends.
-      if (!std::exchange(events_, true)) forget_load();
-      attempt_.event(event.data());
-    }
-    return true;
-  }
-  void ended(const End& end) override {
-    result_.load = end.load;
-    result_.detail = "status " + std::to_string(end.status);
-    const auto status = static_cast<Status>(end.status);
-    if (end.how == Ending::not_sent) result_.outcome = Outcome::connect_failed;
-    else if (end.how == Ending::broken) result_.outcome = Outcome::reset;
-    else if (end.how == Ending::malformed) result_.outcome = events_ ? Outcome::reset : Outcome::error;
-    else if (status == Status::ok && read_) result_.outcome = Outcome::read;
-    else if (status == Status::ok && events_) result_.outcome = Outcome::ok;
-    else if (events_) result_.outcome = Outcome::reset;
-    else if (end.declined && status == Status::unavailable) result_.outcome = Outcome::full;
-    else if (end.declined && status == Status::failed_precondition) {
-      result_.outcome = Outcome::full;
-      result_.kept = 1;
-    } else {
-      result_.outcome = Outcome::error;
-      result_.unfit = status == Status::invalid_argument;
-    }
-    attempt_.done(result_);
-  }
-
-  Attempt& attempt_;
-  Result result_;
-  bool read_ = false, events_ = false;
-};
-
-class SimpleCall : public NodeCall {
- public:
-  using Done = std::function<void(const Result&)>;
-  SimpleCall(Session& session, const Node& node, std::string_view method, std::string framed, Done done,
-             std::function<void(bool)> over)
-      : NodeCall(session, node.address, method, std::move(framed), {}, std::move(over)), done_(std::move(done)) {}
-
- private:
-  bool message(std::string_view bytes) override {
-    v1::LoadReply reply;
-    if (!reply.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) return false;
-    result_.load = reply.report();
-    return true;
-  }
-  void ended(const End& end) override {
-    if (end.how == Ending::not_sent) result_.outcome = Outcome::connect_failed;
-    else if (end.how == Ending::broken) result_.outcome = Outcome::reset;
-    else result_.outcome = end.how == Ending::whole && end.status == 0 ? Outcome::ok : Outcome::error;
-    const auto done = std::move(done_);
-    const Result result = std::move(result_);
-    done(result);
-  }
-
-  Done done_;
-  Result result_;
-};
-
-// A call for which there is no place: it was never sent, and says so once its beginning has returned.
-class UnsentCall : public Call {
- public:
-  UnsentCall(net::Loop& loop, std::function<void()> told) : told_(std::make_shared<std::function<void()>>(std::move(told))) {
-    loop.defer([weak = std::weak_ptr(told_)] {
-      if (const auto told = weak.lock()) (*told)();
-    });
-  }
-
- private:
-  std::shared_ptr<std::function<void()>> told_;
-};
-
 Pool::Time now() { return Pool::Clock::now(); }
 
 }  // namespace
@@ -287,8 +104,8 @@
 std::unique_ptr<Call> NodeClient::begin(const Node& node, const Prompt& prompt, Micros within,
                                         Attempt& attempt) {
   if (auto taken = take(node.address))
-    return std::make_unique<RunCall>(*taken->session, node, prompt, within, attempt, std::move(taken->over));
-  return std::make_unique<UnsentCall>(loop_, [&attempt] {
+    return run_call(*taken->session, node, prompt, within, attempt, std::move(taken->over));
+  return unsent_call(loop_, [&attempt] {
     attempt.done({Outcome::connect_failed, 0, {}, "no connection has a place", false});
   });
 }
@@ -296,8 +113,8 @@
 std::unique_ptr<Call> NodeClient::simple(const Node& node, std::string_view method, std::string framed,
                                          std::function<void(const Result&)> done) {
   if (auto taken = take(node.address))
-    return std::make_unique<SimpleCall>(*taken->session, node, method, std::move(framed), std::move(done), std::move(taken->over));
-  return std::make_unique<UnsentCall>(loop_, [done = std::move(done)] {
+    return simple_call(*taken->session, node, method, std::move(framed), std::move(done), std::move(taken->over));
+  return unsent_call(loop_, [done = std::move(done)] {
     const auto told = done;  // whoever is told may let go of the call, and of what is told with it
     told({Outcome::connect_failed, 0, {}, "no connection has a place", false});
   });
--- a/src/grpc/session.h
+++ b/src/grpc/session.h
@@ -98,6 +98,9 @@
   struct Free {
     void operator()(nghttp2_session* session) const { nghttp2_session_del(session); }
   };
+  static constexpr std::size_t most_header_bytes = 16 * 1024, frame_head = 9;
+  static constexpr std::chrono::seconds look_again{1};
+
   void start(bool server);
   void flush();
   void flush_soon();
--- /dev/null
+++ b/src/grpc/session/out.cpp
@@ -0,0 +1,178 @@
+// What goes out on an HTTP/2 connection: calls, answers, and how much of them is handed on ahead of the socket.
+#include "grpc/session.h"
+
+#include <algorithm>
+#include <cstring>
+
+namespace lemonroute::grpc {
+namespace {
+
+constexpr std::size_t most_unsent = 64 * 1024;  // handed to the connection ahead of the socket
+constexpr std::size_t drained_below = 16 * 1024;
+
+std::vector<nghttp2_nv> to_nv(const Headers& headers) {
+  std::vector<nghttp2_nv> nv;
+  for (const auto& [name, value] : headers)
+    nv.push_back({reinterpret_cast<std::uint8_t*>(const_cast<char*>(name.data())),
+                  reinterpret_cast<std::uint8_t*>(const_cast<char*>(value.data())), name.size(), value.size(),
+                  NGHTTP2_NV_FLAG_NONE});
+  return nv;
+}
+
+Session& session_of(void* self) { return *static_cast<Session*>(self); }
+
+}  // namespace
+
+nghttp2_data_provider Session::body_source() {
+  nghttp2_data_provider provider{};
+  provider.read_callback = [](nghttp2_session*, std::int32_t id, std::uint8_t* buffer, std::size_t size,
+                              std::uint32_t* flags, nghttp2_data_source*, void* self) {
+    return session_of(self).fill(id, buffer, size, flags);
+  };
+  return provider;
+}
+
+std::int32_t Session::request(const Headers& headers, std::string body, StreamEvents& events) {
+  const auto nv = to_nv(headers);
+  const nghttp2_data_provider provider = body_source();
+  const auto id = nghttp2_submit_request(session_.get(), nullptr, nv.data(), nv.size(), &provider, nullptr);
+  if (id < 0) {  // the ids of this connection are used up
+    going_ = true;
+    return id;
+  }
+  Stream& stream = streams_[id];
+  stream.events = &events;
+  stream.responded = stream.ended = true;
+  stream.out_size = body.size();
+  stream.out.push_back(std::move(body));
+  flush_soon();
+  return id;
+}
+
+void Session::respond(std::int32_t id, const Headers& headers) {
+  Stream* stream = this->stream(id);
+  if (!stream || stream->responded) return;
+  stream->responded = true;
+  const auto nv = to_nv(headers);
+  const nghttp2_data_provider provider = body_source();
+  nghttp2_submit_response(session_.get(), id, nv.data(), nv.size(), &provider);
+  flush_soon();
+}
+
+void Session::write(std::int32_t id, std::string bytes) {
+  Stream* stream = this->stream(id);
+  if (!stream) return;
+  if (stream->out_size == 0) stream->moved = Guard::Clock::now();  // from here on the peer may let us wait
+  stream->out_size += bytes.size();
+  stream->full = stream->full || stream->out_size >= most_unsent;
+  stream->out.push_back(std::move(bytes));
+  if (std::exchange(stream->parked, false)) nghttp2_session_resume_data(session_.get(), id);
+  flush_soon();
+}
+
+void Session::finish(std::int32_t id, Headers trailers) {
+  Stream* stream = this->stream(id);
+  if (!stream) return;
+  stream->events = nullptr;
+  stream->ended = true;
+  stream->trailers = std::move(trailers);
+  if (!stream->responded) {  // headers and trailers in one
+    stream->responded = true;
+    const auto nv = to_nv(stream->trailers);
+    nghttp2_submit_response(session_.get(), id, nv.data(), nv.size(), nullptr);
+  } else if (std::exchange(stream->parked, false)) {
+    nghttp2_session_resume_data(session_.get(), id);
+  }
+  flush_soon();
+}
+
+void Session::reset(std::int32_t id, std::uint32_t code) {
+  Stream* stream = this->stream(id);
+  if (!stream) return;
+  stream->events = nullptr;
+  nghttp2_submit_rst_stream(session_.get(), NGHTTP2_FLAG_NONE, id, code);
+  flush_soon();
+}
+
+std::size_t Session::waiting(std::int32_t id) const {
+  const auto found = streams_.find(id);
+  return found == streams_.end() ? 0 : found->second.out_size;
+}
+
+void Session::hold_back(std::int32_t id, bool on) {
+  Stream* stream = this->stream(id);
+  if (!stream) return;
+  stream->held_back = on;
+  if (on) return;
+  nghttp2_session_consume_stream(session_.get(), id, std::exchange(stream->unconsumed, 0));
+  flush_soon();
+}
+
+ssize_t Session::fill(std::int32_t id, std::uint8_t* buffer, std::size_t size, std::uint32_t* flags) {
+  Stream* stream = this->stream(id);
+  if (!stream) return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
+  std::size_t filled = 0;
+  while (filled < size && !stream->out.empty()) {
+    const std::string& front = stream->out.front();
+    const std::size_t part = std::min(size - filled, front.size() - stream->out_offset);
+    std::memcpy(buffer + filled, front.data() + stream->out_offset, part);
+    filled += part;
+    stream->out_offset += part;
+    if (stream->out_offset == front.size()) {
+      stream->out.pop_front();
+      stream->out_offset = 0;
+    }
+  }
+  stream->out_size -= filled;
+  if (filled > 0) stream->moved = Guard::Clock::now();
+  if (stream->out.empty() && stream->ended) {
+    *flags |= NGHTTP2_DATA_FLAG_EOF;
+    if (!stream->trailers.empty()) {
+      *flags |= NGHTTP2_DATA_FLAG_NO_END_STREAM;
+      const auto nv = to_nv(stream->trailers);
+      nghttp2_submit_trailer(session_.get(), id, nv.data(), nv.size());
+    }
+    return static_cast<ssize_t>(filled);
+  }
+  if (filled == 0) {
+    stream->parked = true;
+    return NGHTTP2_ERR_DEFERRED;
+  }
+  if (stream->full && stream->out_size < drained_below && stream->events) {
+    stream->full = false;
+    loop_.defer([weak = std::weak_ptr(self_), id] {
+      if (const auto self = weak.lock())
+        if (auto* one = (*self)->stream(id); one && one->events) one->events->drained();
+    });
+  }
+  return static_cast<ssize_t>(filled);
+}
+
+void Session::flush_soon() {
+  if (std::exchange(flush_pending_, true)) return;
+  loop_.defer([weak = std::weak_ptr(self_)] {
+    if (const auto self = weak.lock()) (*self)->flush();
+  });
+}
+
+void Session::flush() {
+  flush_pending_ = false;
+  if (closed_ || condemned_ || !connection_->started()) return;
+  while (connection_->unsent() < most_unsent) {
+    const std::uint8_t* bytes = nullptr;
+    const ssize_t size = nghttp2_session_mem_send(session_.get(), &bytes);
+    if (size < 0) return close();
+    if (size == 0) break;
+    written_ += static_cast<std::uint64_t>(size);
+    connection_->write({reinterpret_cast<const char*>(bytes), static_cast<std::size_t>(size)});
+  }
+  if (!nghttp2_session_want_read(session_.get()) && !nghttp2_session_want_write(session_.get()) &&
+      connection_->unsent() == 0)
+    close();
+}
+
+bool Session::sent(const Stream& stream) const {
+  return stream.sent_at > 0 && written_ - connection_->unsent() >= stream.sent_at;
+}
+
+}  // namespace lemonroute::grpc
