A gRPC connection that has said all is not closed over what the client still sends

Cause: with its last stream over and GOAWAY sent a session closed its socket at once. Whatever the client sent just then (a PING, a window update) makes the kernel reset the connection, and the end of an answer that is still on its way to the client goes with it.

Measured: AConnectionThatHasEndedIsNotReset; with the close as it was the client's second PING meets a reset.

--- a/src/grpc/session.h
+++ b/src/grpc/session.h
@@ -114,6 +114,7 @@
   void frame_received(const nghttp2_frame& frame);
   int frame_begun(const nghttp2_frame_hd& head);
   void overdone(Abuse abuse);  // the connection ends
+  void part();                 // all is said; it ends once the peer has ended it too, or soon
   void look();                 // at what takes too long
   void last_call();
   void end_streams();
--- a/src/grpc/session/allowed.cpp
+++ b/src/grpc/session/allowed.cpp
@@ -30,11 +30,15 @@
   nghttp2_session_terminate_session(session_.get(), NGHTTP2_ENHANCE_YOUR_CALM);
   flush();
   if (closed_) return;
-  // Closed with bytes of the peer's unread, the kernel would reset the connection and take the GOAWAY with it; so what
-  // still comes is thrown away for a moment.
+  connection_->push();
+  part();
+}
+
+// Closed with bytes of the peer's unread, or before they come, the kernel would reset the connection and take what was
+// said last with it: a GOAWAY, or the end of an answer. So what still comes is thrown away for a moment.
+void Session::part() {
   condemned_ = true;
   end_streams();
-  connection_->push();
   connection_->end_sending();
   connect_timer_.start(last_words);
 }
--- a/src/grpc/session/out.cpp
+++ b/src/grpc/session/out.cpp
@@ -175,7 +175,7 @@
   }
   if (!nghttp2_session_want_read(session_.get()) && !nghttp2_session_want_write(session_.get()) &&
       connection_->unsent() == 0)
-    close();
+    server_ ? part() : close();
 }
 
 bool Session::sent(const Stream& stream) const {
--- a/tests/core/grpc_front_test.cpp
+++ b/tests/core/grpc_front_test.cpp
@@ -120,5 +120,28 @@
   EXPECT_LE(peer->body(1).size(), 100u);
 }
 
+// The end of an answer is not lost to what the client sends while the connection ends.
+TEST_F(GrpcFront, AConnectionThatHasEndedIsNotReset) {
+  hello();
+  ask(1);
+  server.stop_accepting();
+  peer->settle();
+  read();
+  writer().event("a");
+  writer().done({Outcome::ok, 0, {}, {}});
+  ASSERT_TRUE(peer->until([&] { return peer->closed; }));  // the end has come
+  EXPECT_EQ(peer->field(1, "grpc-status"), "0");
+  for (int i = 0; i < 20; ++i) event_base_loop(loop.base(), EVLOOP_NONBLOCK);
+  peer->closed = false;
+  peer->send(frame(PING, NONE, 0, "late one"));
+  for (int i = 0; i < 20; ++i) event_base_loop(loop.base(), EVLOOP_NONBLOCK);
+  errno = 0;
+  peer->send(frame(PING, NONE, 0, "late two"));
+  EXPECT_FALSE(peer->closed) << "reset";
+  peer->drop();
+  for (int i = 0; i < 4000 && !server.idle(); ++i) event_base_loop(loop.base(), EVLOOP_NONBLOCK);
+  EXPECT_TRUE(server.idle());
+}
+
 }  // namespace
 }  // namespace lemonroute::conformance
