A gRPC client that sends GOAWAY with an error has gone, and its calls are let go of

Need: such a client closes next (RFC 9113, 5.4.1), but its calls went on until it did. GOAWAY without an error still only says that no more calls come.

Measured: GoawayEndsCallsOnlyWithAnError, which fails without the change.

--- a/src/grpc/session.h
+++ b/src/grpc/session.h
@@ -130,7 +130,7 @@
   net::Loop& loop_;
   SessionOwner& owner_;
   Limits limits_;
-  bool server_, connected_, closed_ = false, going_ = false, flush_pending_ = false, counted_out_ = false, doubted_ = false, condemned_ = false;
+  bool server_, connected_, closed_ = false, going_ = false, flush_pending_ = false, counted_out_ = false, doubted_ = false, condemned_ = false, given_up_ = false;
   Guard guard_;
   std::optional<Abuse> abuse_;
   std::uint64_t received_ = 0, begun_ = 0;  // bytes: all that came, and those of frames that were begun
--- a/src/grpc/session/in.cpp
+++ b/src/grpc/session/in.cpp
@@ -132,6 +132,7 @@
       if ((abuse_ = guard_.unknown(Guard::Clock::now(), passed_over))) return overdone(*abuse_);
     }
   }
+  if (given_up_) return close();
   if (!closed_) flush();
 }
 
@@ -140,6 +141,8 @@
   connect_timer_.stop();
   const bool ack = frame.hd.flags & NGHTTP2_FLAG_ACK;
   if (frame.hd.type == NGHTTP2_GOAWAY && !std::exchange(going_, true) && !server_) owner_.going(*this);
+  // Who says so with an error closes next (RFC 9113, 5.4.1), and takes no answer any more.
+  if (frame.hd.type == NGHTTP2_GOAWAY && server_ && frame.goaway.error_code != NGHTTP2_NO_ERROR) given_up_ = true;
   if (frame.hd.type == NGHTTP2_PING && ack) {
     if (last_timer_.pending()) last_call();
     ping_timer_.stop();
--- a/tests/core/grpc_front_test.cpp
+++ b/tests/core/grpc_front_test.cpp
@@ -79,6 +79,26 @@
   }
 }
 
+// GOAWAY says that no more calls come; those that are open go on. With an error it says that the client has given up.
+TEST_F(GrpcFront, GoawayEndsCallsOnlyWithAnError) {
+  hello();
+  ask(1);
+  peer->send(frame(GOAWAY, NONE, 0, number(0) + number(NO_ERROR)));
+  peer->settle();
+  EXPECT_EQ(core.open(), 1u);
+  read();
+  writer().event("a");
+  writer().done({Outcome::ok, 0, {}, {}});
+  EXPECT_TRUE(peer->until([&] { return peer->field(1, "grpc-status") == "0"; }));
+
+  peer = std::make_unique<Peer>(loop, Peer::dial(server.port()));
+  hello();
+  ask(1);
+  peer->send(frame(GOAWAY, NONE, 0, number(0) + number(INTERNAL_ERROR)));
+  EXPECT_TRUE(gone());
+  EXPECT_FALSE(nodes.begun.back().open);
+}
+
 // A client that takes nothing of its answer, by its window or by its socket, is heard all the same.
 TEST_F(GrpcFront, ACancelIsHeardFromAClientThatTakesNothing) {
   for (const bool window : {true, false}) {
