An attempt that has not left is let go of with its client, whatever the settings allow

Cause: gone() left attempts to the module, which calls none off where the settings forbid it. So one whose connection was still coming up, or that waited for a place on one, was sent after its client had left; and one that had been sent went on to stream its whole answer to nobody.

Change: what is unsent is let go of in gone() itself, since no node has heard of it; nothing is released for what was called off or timed out unsent, which cost a connection for nothing. A stream that begins with no client left ends as soon as its node's call has returned (an event may not let go of the call that tells of it).

Measured: the three tests of Unsent; without the change in gone() two fail, without the one in event() the third.

--- a/src/core/conductor/attempts.cpp
+++ b/src/core/conductor/attempts.cpp
@@ -39,7 +39,16 @@
     logging::debug() << entry.prompt.id << " attempt " << attempt.number << " at " << attempt.node << ": streams";
     put(First{attempt.request, attempt.host, attempt.number, clock_.now() - attempt.sent});
   }
-  if (!entry.client || entry.client->event(data)) return;
+  // It began as its client left, where attempts may not be called off: a stream that nobody reads ends.
+  if (!entry.client) {
+    timers_.drop(attempt.timer);
+    attempt.timer = timers_.add(clock_.now(), [this, &attempt] {
+      done(attempt, {Outcome::cancelled, 0, {}, "its client has gone"});
+    });
+    if (on_change) on_change();
+    return;
+  }
+  if (entry.client->event(data)) return;
   // Guards a slow client's stream: while it is held back the node's silence is of our own making.
   timers_.drop(attempt.timer);
   attempt.call->hold_back(true);
@@ -69,8 +78,10 @@
     node->second.load_at = clock_.now();
   }
   const bool tells = entry.adopted && result.outcome != Outcome::cancelled;
+  // One that was called off, or ran out of time, before anything of it had left: nothing is held for it either.
+  const bool given_up = result.outcome == Outcome::cancelled || result.outcome == Outcome::timeout;
   const bool never_ran = result.outcome == Outcome::full || result.outcome == Outcome::connect_failed ||
-                         result.outcome == Outcome::moot;
+                         result.outcome == Outcome::moot || (given_up && ended->unsent());
   entry.ran |= attempt.started || (!never_ran && result.outcome != Outcome::read && attempt.role != Role::read);
   if (result.outcome == Outcome::read) entry.held_at = attempt.host;
   else if (!never_ran && attempt.role != Role::write && !attempt.started)
--- a/src/core/conductor/parts.h
+++ b/src/core/conductor/parts.h
@@ -27,6 +27,8 @@
   bool started = false;
   std::unique_ptr<Call> call;
   Timers::Id timer;  // its time-out, and once it streams the watch for silence
+  // Certainly no node has heard of it, and none will once it is let go of.
+  bool unsent() const { return call && call->unsent(); }
 };
 
 struct Conductor::Entry {
--- a/src/core/conductor/requests.cpp
+++ b/src/core/conductor/requests.cpp
@@ -102,7 +102,10 @@
   logging::debug() << entry->prompt.id << " is given up by its client after " << entry->attempts << " attempts";
   end(*entry);
   // A stream that nobody reads ends; the module does not cancel what has started.
-  if (entry->out && entry->out->started) done(*entry->out, {Outcome::cancelled, 0, {}, "the client has gone"});
+  // Danger: an attempt that begins for nobody, once its connection comes up or a place on one is free. Where the settings
+  // forbid to call attempts off the module leaves it alone; but there is nothing to call off, no node has heard of it.
+  if (entry->out && (entry->out->started || entry->out->unsent()))
+    done(*entry->out, {Outcome::cancelled, 0, {}, "the client has gone"});
   put(Abandoned{id});
 }
 
--- /dev/null
+++ b/tests/core/unsent_test.cpp
@@ -0,0 +1,94 @@
+// Attempts that have begun in the core and not on the wire, since a connection is coming up or a place on one is awaited.
+#include <gtest/gtest.h>
+
+#include "base/log.h"
+#include "net/core_bed.h"
+
+namespace lemonroute::test {
+namespace {
+
+// Their attempts leave when the test says so.
+struct SlowNodes : TestNodes {
+  struct SlowCall : NoteCall {
+    SlowCall(std::function<void()> over, const bool& unsent) : NoteCall(std::move(over)), unsent_(unsent) {}
+    bool unsent() const override { return unsent_; }
+    const bool& unsent_;
+  };
+  std::unique_ptr<Call> begin(const Node& node, const Prompt&, Micros, Attempt& attempt) override {
+    begun.push_back({node.id, &attempt, true});
+    return std::make_unique<SlowCall>([this, i = begun.size() - 1] { begun[i].open = false; }, unsent);
+  }
+  bool unsent = true;  // those that are out
+};
+
+struct Unsent : ::testing::Test {
+  Unsent() { logging::set_level(logging::Level::error); }
+  static Settings limits() {
+    Settings s = settings();
+    s.may_cancel = false;
+    s.drain_grace = 500ms;
+    s.release_within = 1s;
+    s.classes[0].effect = Effect::keyed;
+    s.classes[0].window = 400ms;
+    return s;
+  }
+  void start(std::vector<std::string> names, Settings with = limits()) {
+    core.emplace(with, std::vector<std::string>{"a"}, std::vector<std::string>{"r", "w"}, 1, clock, nodes);
+    std::vector<Conductor::Listed> list;
+    for (const auto& name : names) list.push_back(Bed::node(name));
+    core->update(ListKind::full, 1, list);
+    Inquiry inquiry;
+    inquiry.prompt = {"q", "/", std::make_shared<std::string>("{}")};
+    inquiry.kind = "k";
+    inquiry.prompt_tokens = 100;
+    ASSERT_EQ(core->take(inquiry, client, id), Conductor::Taken::yes);
+  }
+  void read() { end(Outcome::read); }
+  void end(Outcome outcome, std::uint32_t note = 0) { nodes.begun.back().attempt->done({outcome, note, {}, {}}); }
+  void pass(Micros span) {
+    clock.at += span;
+    core->run_due();
+  }
+  std::string at() const { return core->name_of(nodes.begun.back().host); }
+
+  TestClock clock;
+  SlowNodes nodes;
+  TestClient client;
+  std::optional<Conductor> core;
+  RequestId id = 0;
+};
+
+// The settings forbid to call off attempts; one of which no node has heard is none.
+TEST_F(Unsent, IsLetGoOfWithItsClient) {
+  start({"r", "w"});
+  core->gone(id);
+  EXPECT_FALSE(nodes.begun[0].open);
+  EXPECT_TRUE(nodes.released.empty());  // nothing can be held for it
+  EXPECT_TRUE(core->idle());
+}
+
+TEST_F(Unsent, IsLetGoOfWithItsClientAtAWriterToo) {
+  start({"r", "w"});
+  read();
+  core->gone(id);
+  EXPECT_EQ(nodes.begun.size(), 2u);
+  EXPECT_FALSE(nodes.begun[1].open);
+  EXPECT_EQ(nodes.released.size(), 1u);
+}
+
+TEST_F(Unsent, ASentOneStaysAndItsStreamEndsAsItBegins) {
+  start({"r", "w"});
+  read();
+  nodes.unsent = false;
+  core->gone(id);
+  EXPECT_TRUE(nodes.begun[1].open);
+  nodes.begun[1].attempt->event("a");
+  EXPECT_TRUE(nodes.begun[1].open);  // whoever tells of an event is not let go of while it does
+  core->run_due();
+  EXPECT_FALSE(nodes.begun[1].open);
+  EXPECT_TRUE(core->idle());
+  EXPECT_EQ(client.seen, "");
+}
+
+}  // namespace
+}  // namespace lemonroute::test
