No attempt begins long after its node leaves, nor a repeat after its class's window

Cause: a send is judged when it is decided, but counts when it leaves. A connection that comes up late, or a place that becomes free late on a gRPC connection, sent a request to a node that had been told to drain, or repeated one of a keyed class after the window in which nodes discard repeats.

Change: the core gives an attempt that is unsent until half of the drain's grace, or until the window is over, and takes it back then as one that certainly never ran; the module goes on from there at once. It also refuses the module's own sends after the window, as it does for classes that must not run twice.

Ruled out: attempts on connections that are up; they leave in the same turn of the loop.

--- a/src/core/conductor.h
+++ b/src/core/conductor.h
@@ -106,6 +106,8 @@
   void done(Try& attempt, Result result);
   void witnessed(const Entry& entry, const Try& ended, const Node& node, const Completed& completed);
   void watch_silence(Try& attempt);
+  void begin_by(Try& attempt, Micros at, Result or_else);
+  void hurry_to_leaving();
   void stalled(Try& attempt);
   void timed_out(Try& attempt);
   void end(Entry& entry);
--- a/src/core/conductor/actions.cpp
+++ b/src/core/conductor/actions.cpp
@@ -22,6 +22,8 @@
   // Danger: doing twice what must be done once. A replaced configuration may call the node a reader by now; what
   // counts is what it was when the attempt went out.
   if (entry->once && entry->ran) return answer(Outcome::moot);
+  const bool repeats = entry->ran && role(send.host) != Role::read;
+  if (repeats && now >= entry->repeats_until) return answer(Outcome::moot);
   if (node == known_.end() || !node->second.ready()) return answer(Outcome::connect_failed);
   const Micros left = entry->deadline - now;
   const Micros within = send.within > Micros(0) ? std::min(send.within, left) : left;
@@ -30,6 +32,8 @@
   logging::debug() << entry->prompt.id << " attempt " << number << " to " << node->second.name;
   attempt.timer = timers_.add(now + within, [this, &attempt] { timed_out(attempt); });
   attempt.call = nodes_.begin(node->second, entry->prompt, within, attempt);
+  if (repeats && entry->repeats_until < now + within)
+    begin_by(attempt, entry->repeats_until, {Outcome::connect_failed, 0, {}, "its class allows no repeat any more"});
 }
 
 void Conductor::act(const Refuse& refuse) {
--- a/src/core/conductor/attempts.cpp
+++ b/src/core/conductor/attempts.cpp
@@ -59,6 +59,17 @@
   attempt.timer = timers_.add(clock_.now() + stream_silence, [this, &attempt] { stalled(attempt); });
 }
 
+// Danger: a send that was right when it was decided and is wrong by the time its connection comes up, or a place on one
+// is free: to a node that drains by then, or of a repeat that its class allows no more. So it is taken back.
+void Conductor::begin_by(Try& attempt, Micros at, Result or_else) {
+  if (!attempt.unsent() || (attempt.begin_timer && attempt.begin_timer->first <= at)) return;
+  if (attempt.begin_timer) timers_.drop(*attempt.begin_timer);
+  attempt.begin_timer = timers_.add(at, [this, &attempt, or_else = std::move(or_else)] {
+    attempt.begin_timer.reset();
+    if (attempt.unsent()) done(attempt, or_else);
+  });
+}
+
 // Guards against a result that lives in the call, which is let go of here: it is taken by value.
 void Conductor::done(Try& attempt, Result result) {
   Entry& entry = *find(attempt.request);
@@ -82,7 +93,9 @@
   const bool given_up = result.outcome == Outcome::cancelled || result.outcome == Outcome::timeout;
   const bool never_ran = result.outcome == Outcome::full || result.outcome == Outcome::connect_failed ||
                          result.outcome == Outcome::moot || (given_up && ended->unsent());
-  entry.ran |= attempt.started || (!never_ran && result.outcome != Outcome::read && attempt.role != Role::read);
+  const bool may_have_run = attempt.started || (!never_ran && result.outcome != Outcome::read && attempt.role != Role::read);
+  if (may_have_run && !std::exchange(entry.ran, true) && entry.repeats_for < Micros::max())
+    entry.repeats_until = attempt.sent + entry.repeats_for;
   if (result.outcome == Outcome::read) entry.held_at = attempt.host;
   else if (!never_ran && attempt.role != Role::write && !attempt.started)
     entry.leftover = attempt.host;
--- a/src/core/conductor/list.cpp
+++ b/src/core/conductor/list.cpp
@@ -56,6 +56,7 @@
     return gone;
   });
   while (left_.size() > most_left) left_.pop_front();
+  hurry_to_leaving();
   put(std::move(list));
   tell_listed();
 }
@@ -90,9 +91,20 @@
   laid_until_ = Micros::max();
   for (auto& [id, node] : known_)
     if (lay_over(node)) list.hosts.push_back(node.entry);
+  if (!list.hosts.empty()) hurry_to_leaving();
   return list;
 }
 
+// Attempts to nodes that are not ready any more begin soon or not at all; half of what is allowed is left to the wire.
+void Conductor::hurry_to_leaving() {
+  for (const auto& [id, entry] : requests_) {
+    if (!entry->out || entry->out->started) continue;
+    const auto node = known_.find(entry->out->host);
+    if (node == known_.end() || !node->second.ready()) 
+      begin_by(*entry->out, clock_.now() + settings_.drain_grace / 2, {Outcome::connect_failed, 0, {}, "its node leaves"});
+  }
+}
+
 void Conductor::lay_again() {
   if (HostList list = laid_again(); !list.hosts.empty()) put(std::move(list));
 }
--- a/src/core/conductor/parts.h
+++ b/src/core/conductor/parts.h
@@ -13,6 +13,9 @@
 struct Conductor::Try : Attempt {
   Try(Conductor& owner, RequestId of, std::uint16_t number, const Node& at, Role role, Micros now)
       : conductor(owner), request(of), number(number), host(at.id), node(at.name), role(role), sent(now) {}
+  ~Try() override {
+    if (begin_timer) conductor.timers_.drop(*begin_timer);
+  }
   void written() override { ++conductor.sends_; }
   void event(std::string_view data) override { conductor.event(*this, data); }
   void done(Result result) override { conductor.done(*this, std::move(result)); }
@@ -27,6 +30,7 @@
   bool started = false;
   std::unique_ptr<Call> call;
   Timers::Id timer;  // its time-out, and once it streams the watch for silence
+  std::optional<Timers::Id> begin_timer;  // until then it has to have begun, or it does not begin any more
   // Certainly no node has heard of it, and none will once it is let go of.
   bool unsent() const { return call && call->unsent(); }
 };
@@ -44,6 +48,8 @@
   std::shared_ptr<Counts> counts;  // of the class that it was taken with
   bool once = false;  // its class must never run twice,
   bool ran = false;   // and an attempt that would have answered may have run
+  Micros repeats_for = Micros::max();    // how long after its sending the class may be repeated,
+  Micros repeats_until = Micros::max();  // and, once one may have run, until when
   std::unique_ptr<Try> out;  // at most one
   HostId held_at = 0;        // the node of the last read that ended well
   // A node where a read was cut. It may have ended well in that very moment and hold a state that nobody
--- a/src/core/conductor/requests.cpp
+++ b/src/core/conductor/requests.cpp
@@ -40,6 +40,7 @@
   Entry& entry = enter(inquiry.prompt, client, inquiry.kind);
   id = entry.id;
   entry.once = settings_.classes[cls].effect == Effect::unsafe;
+  if (settings_.classes[cls].effect == Effect::keyed) entry.repeats_for = settings_.classes[cls].window;
 
   Request request;
   request.id = id;
--- a/tests/core/unsent_test.cpp
+++ b/tests/core/unsent_test.cpp
@@ -90,5 +90,63 @@
   EXPECT_EQ(client.seen, "");
 }
 
+TEST_F(Unsent, DoesNotBeginLongAfterItsNodeLeaves) {
+  for (const Phase phase : {Phase::draining, Phase::gone}) {
+    nodes = {};
+    start({"r", "r2", "w"});
+    const std::string first = at();
+    core->update(ListKind::delta, 2, {Bed::node(first, phase)});
+    pass(249ms);
+    EXPECT_EQ(nodes.begun.size(), 1u);
+    pass(1ms);
+    EXPECT_FALSE(nodes.begun[0].open);
+    ASSERT_EQ(nodes.begun.size(), 2u);
+    EXPECT_NE(at(), first);
+    EXPECT_EQ(client.answers, 0);
+    core.reset();
+  }
+  // One that has left by then goes on.
+  nodes = {};
+  start({"r", "r2", "w"});
+  core->update(ListKind::delta, 2, {Bed::node(at(), Phase::draining)});
+  nodes.unsent = false;
+  pass(400ms);
+  EXPECT_TRUE(nodes.begun[0].open);
+  EXPECT_EQ(nodes.begun.size(), 1u);
+}
+
+TEST_F(Unsent, DoesNotBeginAtANodeThatIsOutByHand) {
+  start({"r", "r2", "w"});
+  const std::string first = at();
+  ASSERT_EQ(core->take_out(first), Conductor::Ordered::done);
+  pass(250ms);
+  EXPECT_FALSE(nodes.begun[0].open);
+  EXPECT_NE(at(), first);
+}
+
+TEST_F(Unsent, ARepeatDoesNotBeginAfterTheWindowOfItsClass) {
+  start({"r", "w", "w2"});
+  read();
+  pass(10ms);
+  end(Outcome::error);  // it may have run, and was sent 10 ms ago
+  ASSERT_EQ(nodes.begun.size(), 3u);
+  pass(389ms);
+  EXPECT_TRUE(nodes.begun[2].open);
+  pass(1ms);
+  EXPECT_FALSE(nodes.begun[2].open);
+  EXPECT_EQ(nodes.begun.size(), 3u);
+  EXPECT_EQ(client.answers, 1);  // at once
+}
+
+// A first attempt has no window, and a repeat that has left has its time.
+TEST_F(Unsent, OnlyRepeatsHaveAWindow) {
+  start({"r", "w", "w2"});
+  read();
+  pass(450ms);
+  EXPECT_TRUE(nodes.begun[1].open);
+  end(Outcome::error);
+  ASSERT_EQ(client.answers, 1);  // 450 ms after it was sent
+}
+
 }  // namespace
 }  // namespace lemonroute::test
