Held state is let go of while the attempt that is to use it does not begin

Cause: the core counted an attempt as out from its decision on, the rule from its sending on. While connections to writers failed to come up one after the other, a read's state stayed at its reader; and what a cut read may have left there was not let go of as long as the next attempt was connecting. Found by drawn schedules: 805 ms where 800 are allowed, and 1350 where 1300 are, with connections that take 1 s to fail.

Change: with a state waiting an unsent attempt has half of the settings' time; then what was cut is released, and the module is told that a held state is lost, on which it has the prompt read again if there is time. A release that has to be repeated no longer waits for an attempt that has not begun.

--- a/src/core/conductor.h
+++ b/src/core/conductor.h
@@ -113,6 +113,7 @@
   void end(Entry& entry);
   void settle();
   void start_release(Entry& entry, HostId holder);
+  void let_go_leftover(Entry& entry);
   const Node* asked_to_release(const Released& released) const;
   void try_release(Released& released);
   void drop_release(Released& released);
--- a/src/core/conductor/actions.cpp
+++ b/src/core/conductor/actions.cpp
@@ -34,6 +34,11 @@
   attempt.call = nodes_.begin(node->second, entry->prompt, within, attempt);
   if (repeats && entry->repeats_until < now + within)
     begin_by(attempt, entry->repeats_until, {Outcome::connect_failed, 0, {}, "its class allows no repeat any more"});
+  // Told that its state is lost the module lets go of it, and has the prompt read again if there is time.
+  if (entry->state_waits && settings_.release_within > Micros(0)) {
+    const Result or_else{entry->holds ? Outcome::full : Outcome::connect_failed, entry->holds ? 1u : 0u, {}, "a state has waited too long"};
+    begin_by(attempt, *entry->state_waits + settings_.release_within / 2, or_else);
+  }
 }
 
 void Conductor::act(const Refuse& refuse) {
@@ -94,6 +99,8 @@
   Entry* entry = find(release.id);
   if (!entry) return;
   entry->leftover.reset();
+  entry->state_waits.reset();
+  entry->holds = false;
   start_release(*entry, entry->held_at);
 }
 
--- a/src/core/conductor/attempts.cpp
+++ b/src/core/conductor/attempts.cpp
@@ -60,13 +60,17 @@
 }
 
 // Danger: a send that was right when it was decided and is wrong by the time its connection comes up, or a place on one
-// is free: to a node that drains by then, or of a repeat that its class allows no more. So it is taken back.
+// is free: to a node that drains by then, of a repeat that its class allows no more, or while a state waits at a reader
+// for which nothing is out. So it is taken back.
 void Conductor::begin_by(Try& attempt, Micros at, Result or_else) {
   if (!attempt.unsent() || (attempt.begin_timer && attempt.begin_timer->first <= at)) return;
   if (attempt.begin_timer) timers_.drop(*attempt.begin_timer);
   attempt.begin_timer = timers_.add(at, [this, &attempt, or_else = std::move(or_else)] {
     attempt.begin_timer.reset();
-    if (attempt.unsent()) done(attempt, or_else);
+    if (!attempt.unsent()) return;
+    // Nothing is out, so what a cut read may have left is let go of before another attempt is made.
+    if (Entry& entry = *find(attempt.request); entry.leftover) let_go_leftover(entry);
+    done(attempt, or_else);
   });
 }
 
@@ -96,9 +100,13 @@
   const bool may_have_run = attempt.started || (!never_ran && result.outcome != Outcome::read && attempt.role != Role::read);
   if (may_have_run && !std::exchange(entry.ran, true) && entry.repeats_for < Micros::max())
     entry.repeats_until = attempt.sent + entry.repeats_for;
+  const bool lost = result.outcome == Outcome::full && result.kept == 1;
+  entry.holds = result.outcome == Outcome::read || (entry.holds && !lost && !attempt.started);
   if (result.outcome == Outcome::read) entry.held_at = attempt.host;
   else if (!never_ran && attempt.role != Role::write && !attempt.started)
     entry.leftover = attempt.host;
+  if (attempt.started || (lost && !entry.leftover)) entry.state_waits.reset();
+  else if (result.outcome == Outcome::read || (!never_ran && (entry.state_waits || entry.leftover))) entry.state_waits = clock_.now();
   Client* client = entry.client;
   const bool finished = !client || result.outcome == Outcome::ok || attempt.started || result.unfit;
   if (client && finished) {
--- a/src/core/conductor/events.cpp
+++ b/src/core/conductor/events.cpp
@@ -49,7 +49,7 @@
   for (const RequestId id : std::exchange(touched_, {})) {
     Entry* entry = find(id);
     if (!entry || entry->out) continue;
-    if (entry->leftover) start_release(*entry, *std::exchange(entry->leftover, std::nullopt));
+    if (entry->leftover) let_go_leftover(*entry);
     if (entry->client) continue;
     by_name_.erase(entry->prompt.id);
     requests_.erase(id);
--- a/src/core/conductor/parts.h
+++ b/src/core/conductor/parts.h
@@ -51,7 +51,9 @@
   Micros repeats_for = Micros::max();    // how long after its sending the class may be repeated,
   Micros repeats_until = Micros::max();  // and, once one may have run, until when
   std::unique_ptr<Try> out;  // at most one
-  HostId held_at = 0;        // the node of the last read that ended well
+  HostId held_at = 0;        // the node of the last read that ended well,
+  bool holds = false;        // and whether it holds the state
+  std::optional<Micros> state_waits;  // since when a state is or may be there with nothing out that has begun
   // A node where a read was cut. It may have ended well in that very moment and hold a state that nobody
   // told of, so it is asked to let go as soon as no attempt is out.
   std::optional<HostId> leftover;
--- a/src/core/conductor/releases.cpp
+++ b/src/core/conductor/releases.cpp
@@ -28,6 +28,11 @@
   try_release(released);
 }
 
+void Conductor::let_go_leftover(Entry& entry) {
+  entry.state_waits.reset();
+  start_release(entry, *std::exchange(entry.leftover, std::nullopt));
+}
+
 // The holder first, and at every fourth try again; in between every other ready node in turn, each of which takes the
 // call as well. Guards against a holder that is lost and listed still: asked at every second try, and in its turn
 // among the others, it took up all of the time there is to have its state let go.
@@ -47,7 +52,8 @@
   const Entry* entry = find(released.request);
   // Guards the state of a later read: while an attempt is out nothing counts as left, and the call would
   // take away what that attempt is about to use.
-  const bool wait = released.tries > 0 && entry && entry->out;
+  // One that has not begun does not count: its connection may not come up for longer than the state may stay.
+  const bool wait = released.tries > 0 && entry && entry->out && !entry->out->unsent();
   if (entry && entry->out && entry->out->started) return drop_release(released);
   const auto again = [this, &released] {
     if (clock_.now() >= released.until) {
--- a/tests/core/unsent_test.cpp
+++ b/tests/core/unsent_test.cpp
@@ -148,5 +148,44 @@
   ASSERT_EQ(client.answers, 1);  // 450 ms after it was sent
 }
 
+// The state goes before its time is over, and the prompt is read again.
+TEST_F(Unsent, AStateIsNotHeldForAnAttemptThatDoesNotBegin) {
+  start({"r", "w", "w2"});
+  read();
+  pass(499ms);
+  EXPECT_TRUE(nodes.begun[1].open);
+  EXPECT_TRUE(nodes.released.empty());
+  pass(1ms);
+  EXPECT_FALSE(nodes.begun[1].open);
+  ASSERT_EQ(nodes.released.size(), 1u);
+  EXPECT_EQ(nodes.released[0].first, nodes.begun[0].host);
+  ASSERT_EQ(nodes.begun.size(), 3u);
+  EXPECT_EQ(at(), "r");
+  EXPECT_EQ(client.answers, 0);
+}
+
+// What a cut read may have left is let go of while the next attempt has not begun, and that costs one attempt only.
+TEST_F(Unsent, WhatACutReadLeftIsNotHeldForAnAttemptThatDoesNotBegin) {
+  start({"r", "r2", "r3", "w"});
+  const HostId first = nodes.begun[0].host;
+  end(Outcome::reset);
+  ASSERT_EQ(nodes.begun.size(), 2u);
+  pass(500ms);
+  ASSERT_EQ(nodes.released.size(), 1u);
+  EXPECT_EQ(nodes.released[0].first, first);
+  ASSERT_EQ(nodes.begun.size(), 3u);
+  // Nobody answers: the next one is asked though an attempt is out, since that has not begun either.
+  pass(250ms);
+  pass(60ms);
+  EXPECT_EQ(nodes.released.size(), 2u);
+  EXPECT_TRUE(nodes.begun[2].open);
+  // Once it has, a release would take its state away.
+  nodes.unsent = false;
+  pass(250ms);
+  pass(60ms);
+  EXPECT_EQ(nodes.released.size(), 2u);
+  EXPECT_TRUE(nodes.begun[2].open);
+}
+
 }  // namespace
 }  // namespace lemonroute::test
