--- a/src/core/conductor/actions.cpp
+++ b/src/core/conductor/actions.cpp
@@ -22,6 +22,8 @@
   // Danger: doing twice what must be done once. A replaced configuration may call the node a reader by now; what
   // counts is what it was when the attempt went out.
   if (entry->once && entry->ran) return answer(Outcome::moot);
+  const bool repeats = entry->ran && role(send.host) != Role::read;
+  if (repeats && now >= entry->repeats_until) return answer(Outcome::moot);
   if (node == known_.end() || !node->second.ready()) return answer(Outcome::connect_failed);
   const Micros left = entry->deadline - now;
   const Micros within = send.within > Micros(0) ? std::min(send.within, left) : left;
@@ -30,6 +32,13 @@
   logging::debug() << entry->prompt.id << " attempt " << number << " to " << node->second.name;
   attempt.timer = timers_.add(now + within, [this, &attempt] { timed_out(attempt); });
   attempt.call = nodes_.begin(node->second, entry->prompt, within, attempt);
+  if (repeats && entry->repeats_until < now + within)
+    begin_by(attempt, entry->repeats_until, {Outcome::connect_failed, 0, {}, "its class allows no repeat any more"});
+  // Told that its state is lost the module lets go of it, and has the prompt read again if there is time.
+  if (entry->state_waits && settings_.release_within > Micros(0)) {
+    const Result or_else{entry->holds ? Outcome::full : Outcome::connect_failed, entry->holds ? 1u : 0u, {}, "a state has waited too long"};
+    begin_by(attempt, *entry->state_waits + settings_.release_within / 2, or_else);
+  }
 }
 
 void Conductor::act(const Refuse& refuse) {
@@ -90,6 +99,8 @@
   Entry* entry = find(release.id);
   if (!entry) return;
   entry->leftover.reset();
+  entry->state_waits.reset();
+  entry->holds = false;
   start_release(*entry, entry->held_at);
 }
 
--- a/src/core/conductor/attempts.cpp
+++ b/src/core/conductor/attempts.cpp
@@ -39,7 +39,16 @@
     logging::debug() << entry.prompt.id << " attempt " << attempt.number << " at " << attempt.node << ": streams";
     put(First{attempt.request, attempt.host, attempt.number, clock_.now() - attempt.sent});
   }
-  if (!entry.client || entry.client->event(data)) return;
+  // It began as its client left, where attempts may not be called off: a stream that nobody reads ends.
+  if (!entry.client) {
+    timers_.drop(attempt.timer);
+    attempt.timer = timers_.add(clock_.now(), [this, &attempt] {
+      done(attempt, {Outcome::cancelled, 0, {}, "its client has gone"});
+    });
+    if (on_change) on_change();
+    return;
+  }
+  if (entry.client->event(data)) return;
   // Guards a slow client's stream: while it is held back the node's silence is of our own making.
   timers_.drop(attempt.timer);
   attempt.call->hold_back(true);
@@ -50,6 +59,21 @@
   attempt.timer = timers_.add(clock_.now() + stream_silence, [this, &attempt] { stalled(attempt); });
 }
 
+// Danger: a send that was right when it was decided and is wrong by the time its connection comes up, or a place on one
+// is free: to a node that drains by then, of a repeat that its class allows no more, or while a state waits at a reader
+// for which nothing is out. So it is taken back.
+void Conductor::begin_by(Try& attempt, Micros at, Result or_else) {
+  if (!attempt.unsent() || (attempt.begin_timer && attempt.begin_timer->first <= at)) return;
+  if (attempt.begin_timer) timers_.drop(*attempt.begin_timer);
+  attempt.begin_timer = timers_.add(at, [this, &attempt, or_else = std::move(or_else)] {
+    attempt.begin_timer.reset();
+    if (!attempt.unsent()) return;
+    // Nothing is out, so what a cut read may have left is let go of before another attempt is made.
+    if (Entry& entry = *find(attempt.request); entry.leftover) let_go_leftover(entry);
+    done(attempt, or_else);
+  });
+}
+
 // Guards against a result that lives in the call, which is let go of here: it is taken by value.
 void Conductor::done(Try& attempt, Result result) {
   Entry& entry = *find(attempt.request);
@@ -69,12 +93,20 @@
     node->second.load_at = clock_.now();
   }
   const bool tells = entry.adopted && result.outcome != Outcome::cancelled;
+  // One that was called off, or ran out of time, before anything of it had left: nothing is held for it either.
+  const bool given_up = result.outcome == Outcome::cancelled || result.outcome == Outcome::timeout;
   const bool never_ran = result.outcome == Outcome::full || result.outcome == Outcome::connect_failed ||
-                         result.outcome == Outcome::moot;
-  entry.ran |= attempt.started || (!never_ran && result.outcome != Outcome::read && attempt.role != Role::read);
+                         result.outcome == Outcome::moot || (given_up && ended->unsent());
+  const bool may_have_run = attempt.started || (!never_ran && result.outcome != Outcome::read && attempt.role != Role::read);
+  if (may_have_run && !std::exchange(entry.ran, true) && entry.repeats_for < Micros::max())
+    entry.repeats_until = attempt.sent + entry.repeats_for;
+  const bool lost = result.outcome == Outcome::full && result.kept == 1;
+  entry.holds = result.outcome == Outcome::read || (entry.holds && !lost && !attempt.started);
   if (result.outcome == Outcome::read) entry.held_at = attempt.host;
   else if (!never_ran && attempt.role != Role::write && !attempt.started)
     entry.leftover = attempt.host;
+  if (attempt.started || (lost && !entry.leftover)) entry.state_waits.reset();
+  else if (result.outcome == Outcome::read || (!never_ran && (entry.state_waits || entry.leftover))) entry.state_waits = clock_.now();
   Client* client = entry.client;
   const bool finished = !client || result.outcome == Outcome::ok || attempt.started || result.unfit;
   if (client && finished) {
--- a/src/grpc/session.h
+++ b/src/grpc/session.h
@@ -75,6 +75,8 @@
   void write(std::int32_t id, std::string bytes);
   void finish(std::int32_t id, Headers trailers);  // after what was written; trailers without headers if none
   void reset(std::int32_t id, std::uint32_t code);  // and nothing more is told of the stream
+  // Of a client's request: nothing of it was handed to the connection, and nothing is after a reset.
+  bool unsent(std::int32_t id) const;
   std::size_t waiting(std::int32_t id) const;       // bytes written that have not left
   void hold_back(std::int32_t id, bool on);         // lets the peer wait with its data
   void check_alive();                               // closes the connection unless the peer answers a ping
@@ -92,12 +94,16 @@
     Headers trailers;
     bool responded = false, ended = false, held_back = false, parked = false, full = false;
     bool told_written = false, whole = false;  // whole: the request has come to its end
+    bool begun = false;                        // its first frame has been handed to the connection
     Guard::Clock::time_point opened{}, moved{};  // moved: when some of the answer was last taken
     std::uint64_t sent_at = 0;  // count of bytes written when the last of it went out; 0 = not yet
   };
   struct Free {
     void operator()(nghttp2_session* session) const { nghttp2_session_del(session); }
   };
+  static constexpr std::size_t most_header_bytes = 16 * 1024, frame_head = 9;
+  static constexpr std::chrono::seconds look_again{1};
+
   void start(bool server);
   void flush();
   void flush_soon();
@@ -108,6 +114,7 @@
   void frame_received(const nghttp2_frame& frame);
   int frame_begun(const nghttp2_frame_hd& head);
   void overdone(Abuse abuse);  // the connection ends
+  void part();                 // all is said; it ends once the peer has ended it too, or soon
   void look();                 // at what takes too long
   void last_call();
   void end_streams();
@@ -123,7 +130,7 @@
   net::Loop& loop_;
   SessionOwner& owner_;
   Limits limits_;
-  bool server_, connected_, closed_ = false, going_ = false, flush_pending_ = false, counted_out_ = false, doubted_ = false, condemned_ = false;
+  bool server_, connected_, closed_ = false, going_ = false, flush_pending_ = false, counted_out_ = false, doubted_ = false, condemned_ = false, given_up_ = false;
   Guard guard_;
   std::optional<Abuse> abuse_;
   std::uint64_t received_ = 0, begun_ = 0;  // bytes: all that came, and those of frames that were begun
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -54,6 +54,7 @@
   }
   void hold_back(bool on) { connection_.read(!on); }
   void ends_soon() { timer_.start(owner_.limits_.head); }
+  bool unsent() const { return !connected_; }
   const std::string& address() const { return address_; }
   bool silent() const { return connection_.silent(); }
 
@@ -161,6 +162,8 @@
   if (connection_) connection_->ends_soon();
 }
 
+bool Exchange::unsent() const { return connection_ && connection_->unsent(); }
+
 std::optional<Passed> Exchange::passable() const {
   return connection_ ? connection_->passable() : std::nullopt;
 }
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -49,6 +49,7 @@
   ~Exchange();
   void hold_back(bool on);  // stops or goes on reading the answer
   void ends_soon();         // its answer is no stream: it is malformed if it does not end as soon as a head has to
+  bool unsent() const;      // its connection has not come up
   std::optional<Passed> passable() const;  // between two chunks of an answer, with nothing read ahead
   void passed();                           // its connection is another process's now
 
