Old reports of full nodes fade, and a full prefix table forgets any key

Cause: two failing tests. The pool's mean of writers' loads cancels the weights of old reports, so that a conductor that refuses all for full writers hears nothing new and goes on for 51 to 146 s. A full table of sessions erased its least key, which is more and more surely a new one: 56 of 100 known again after 40,000 sessions. Change: past one longest deadline since the newest report the mean fades; what a full table forgets is drawn by hash.

--- a/src/module/pool_norms.h
+++ b/src/module/pool_norms.h
@@ -15,18 +15,22 @@
   for (const Role role : {Role::read, Role::write, Role::both}) {
     Pool& p = s.pools[role] = Pool{};
     Mean others, own, queued_root, warm_work;
+    Micros heard{};  // the newest report
     for (const auto& [id, node] : s.nodes) {
       if (!node.listed() || node.role != role) continue;
       p.nodes += 1;
       p.ejected += failure_share(s, node) >= eject_at;
       others.add(node.others.value, node.others.trust(s.now, s.fade));
+      heard = std::max(heard, node.others.at);
       own.add(own_share(s, node));
       queued_root.add(std::sqrt(node.others_queued.value), node.others_queued.trust(s.now, s.fade));
       if (!cold(s, node)) warm_work.add(node.work_rate.value * node.work_rate.fresh(s.now, s.fade));
     }
     const double* usual = lookup(s.usual_rate, role);
     p.rate = usual ? *usual : s.any_rate.known ? s.any_rate.value : aim;
-    p.others = s.reported ? others.value() : (s.settings.siblings - 1) * own.value();
+    // Danger: a mean cancels the weights of old reports; who refuses all for full nodes hears no new ones.
+    const double recent = std::min(1.0, std::exp(1 - us(s.now - heard) / us(s.fade)));
+    p.others = s.reported ? recent * others.value() : (s.settings.siblings - 1) * own.value();
     // The mean of roots, so that one jammed prefill node does not stand for all.
     const Learned& inferred = s.inferred[role];
     const double alike = std::max(0.0, inferred.value * inferred.fresh(s.now, s.fade));
--- a/src/module/prefix_cache.h
+++ b/src/module/prefix_cache.h
@@ -27,7 +27,10 @@
 
 inline void record(const State& s, PrefixTable& table, Key key, HostId host, double length) {
   if (key == 0 || length <= 0) return;
-  if (table.size() >= prefix_keys && !table.count(key)) table.erase(table.begin());  // keys are as if drawn
+  if (table.size() >= prefix_keys && !table.count(key)) {  // any: the least key would always be a new one
+    const auto victim = table.lower_bound(mix(key));
+    table.erase(victim == table.end() ? table.begin() : victim);
+  }
   auto& list = table[key];
   std::erase_if(list, [&](auto& one) { return one.host == host || s.now - one.at > 10 * prefix_fresh; });
   list.push_back({host, length, s.now});
