All waiting ends half a second before the kill at any SIGTERM, not only at an upgrade

Cause: end_waits was called where another process takes over. Alone, a program that was told to end let requests wait up to their own deadlines, also such as came after SIGTERM on connections that stay open: the kill found them unanswered, and what their attempts had left at readers was let go of by nobody.

Change: the same end for both, 0.5 s before the earliest kill (3.2 s after SIGTERM, less if every class waits less).

Measured: AnswersWhatWaitsBeforeItIsKilled, without which both its requests go unanswered for the 5 s that it waits. Streams that have begun go on, as before.

--- a/src/cli/program.cpp
+++ b/src/cli/program.cpp
@@ -204,6 +204,8 @@
                     << (successor ? ", another process takes the clients" : "");
     if (successor) hand_over();
     else front_.drain();
+    // Clients send on every connection that stays open, and who asks late may wait longer than there is time.
+    conductor_.end_waits(clock_.now() + last_wait());
     status_.drain();
     window_.start(arrival_window);
   }
@@ -212,7 +214,6 @@
     front_.hand_over();
     if (grpc_) grpc_->server.stop_accepting();
     agent_.reset();
-    conductor_.end_waits(clock_.now() + last_wait());
     ops::Handover::tell(processes_.file(".streams"), conductor_.news());
     pass_streams();
   }
