--- a/src/rules/monitor.cpp
+++ b/src/rules/monitor.cpp
@@ -56,6 +56,13 @@
   else if (!node.off) node.off = now;
 }
 
+void Monitor::placed(const std::string& name, const std::string& zone, std::uint16_t cell, bool serves) {
+  Node& node = nodes_[name];
+  node.zone = zone;
+  node.cell = cell;
+  node.serves = serves;
+}
+
 void Monitor::banned(Micros now, const std::string& name) {
   now = move(now);
   if (auto& since = nodes_[name].banned; !since) since = now;
@@ -68,9 +75,10 @@
 
 // ---- Requests ---------------------------------------------------------------------------------------------
 
-void Monitor::taken(Micros now, const std::string& request, Micros deadline, std::uint32_t most_attempts) {
+void Monitor::taken(Micros now, const std::string& request, Micros deadline, std::uint32_t most_attempts, Terms terms) {
   move(now);
   Watched& one = requests_[request] = {};
+  one.terms = terms;
   one.deadline = deadline;
   one.most_attempts = most_attempts;
   live_.insert(request);
@@ -88,6 +96,8 @@
            one.started ? "an attempt was sent after the first event" : "an attempt was sent after the end");
   if (!one.out.empty() && !limits_.second_copies)
     breach(Rule::attempts, now, request, name, "a second attempt was sent while one is out at " + *one.out.begin());
+  repeated(now, request, name, one);
+  one.last_sent = now;
   one.out.insert(name);
   if (++one.attempts > one.most_attempts)
     breach(Rule::attempts, now, request, name,
@@ -101,6 +111,18 @@
   cold(now, request, name, node, tokens);
 }
 
+void Monitor::repeated(Micros now, const std::string& request, const std::string& name, const Watched& one) {
+  const Node& node = nodes_[name];
+  if (!one.ran || !node.serves || one.terms.effect == Effect::safe) return;
+  const std::string after = " after an attempt at " + one.ran->node + " that may have run";
+  if (one.terms.effect == Effect::unsafe) return breach(Rule::attempts, now, request, name, "sent again" + after);
+  if (now - one.ran->sent >= one.terms.window)
+    breach(Rule::attempts, now, request, name,
+           "sent again " + ms(now - one.ran->sent) + after + ", its window is " + ms(one.terms.window));
+  const bool same = one.terms.group == Group::all || (one.terms.group == Group::zone ? one.ran->zone == node.zone : one.ran->cell == node.cell);
+  if (!same) breach(Rule::attempts, now, request, name, "sent again outside the group" + after);
+}
+
 // The budget of any window: multiple x capacity at the start x window, in this conductor's part of it. One request
 // alone in a window passes whatever its size, or a cold node could never warm up.
 void Monitor::cold(Micros now, const std::string& request, const std::string& name, Node& node, double tokens) {
@@ -119,11 +141,13 @@
   breach(Rule::cold, now, request, name, what.str());
 }
 
-void Monitor::over(Micros now, const std::string& request, const std::string& node) {
+void Monitor::over(Micros now, const std::string& request, const std::string& node, bool ran) {
   now = move(now);
   const auto found = requests_.find(request);
   if (found == requests_.end()) return;
-  auto& out = found->second.out;
+  Watched& one = found->second;
+  if (const Node& at = nodes_[node]; ran && at.serves && !one.ran) one.ran = Ran{one.last_sent, node, at.zone, at.cell};
+  auto& out = one.out;
   if (const auto at = out.find(node); at != out.end()) out.erase(at);
   if (out.empty())
     for (auto& [holder, since] : found->second.holders) since = now;
@@ -151,6 +175,15 @@
            "the answer (" + how + ") came " + ms(now - one.deadline) + " after the client gave up");
 }
 
+void Monitor::refused(Micros now, const std::string& request) {
+  if (const auto found = requests_.find(request); found != requests_.end() && found->second.ran) {
+    const Terms& terms = found->second.terms;
+    if (terms.effect == Effect::unsafe || (terms.effect == Effect::keyed && terms.group != Group::all))
+      breach(Rule::attempts, std::max(now, now_), request, found->second.ran->node, "refused after it may have run there");
+  }
+  answered(now, request, "refused");
+}
+
 void Monitor::left(Micros now, const std::string& request) {
   now = move(now);
   const auto found = requests_.find(request);
--- a/src/rules/monitor.h
+++ b/src/rules/monitor.h
@@ -45,6 +45,13 @@
   Micros published = std::chrono::seconds(2);  // how late it may be told who owns a pool
 };
 
+// What the class of a request allows once an attempt of it may have run.
+struct Terms {
+  Effect effect = Effect::safe;
+  Group group = Group::all;  // of keyed ones: the nodes that discard a repeat,
+  Micros window{};           // for so long from the sending of that attempt on
+};
+
 // Times never go back between calls; a call with an earlier one counts as at the latest.
 class Monitor {
  public:
@@ -55,6 +62,8 @@
   // ---- the nodes, as the conductor was told ----
   // `capacity`: prompt tokens a second once warm; 0: unknown, no budget is watched. A new `started` is a new process.
   void listed(Micros now, const std::string& node, Phase phase, Micros started, double capacity = 0);
+  // Where it stands. Reading has no effect, so what a node does that serves nobody is no repeat.
+  void placed(const std::string& node, const std::string& zone, std::uint16_t cell, bool serves);
   void banned(Micros now, const std::string& node);  // from the yes to the operator on
   void unbanned(Micros now, const std::string& node);
 
@@ -66,12 +75,14 @@
   }
 
   // ---- a request ----
-  void taken(Micros now, const std::string& request, Micros deadline, std::uint32_t most_attempts);
+  void taken(Micros now, const std::string& request, Micros deadline, std::uint32_t most_attempts, Terms terms = {});
   // `region`: of the conductor that sends, where pools are watched.
   void sent(Micros now, const std::string& request, const std::string& node, double tokens, const std::string& region = {});
-  void over(Micros now, const std::string& request, const std::string& node);  // its attempt there, however it ended
+  // Its attempt there, however it ended. `ran`: unless that proves that it has not run.
+  void over(Micros now, const std::string& request, const std::string& node, bool ran = true);
   void first(Micros now, const std::string& request);  // the client got the first event: the deadline stops
   void answered(Micros now, const std::string& request, const std::string& how);
+  void refused(Micros now, const std::string& request);  // the answer that says that trying again is harmless
   void left(Micros now, const std::string& request);  // the client has gone: no answer is owed
 
   // ---- read state at nodes ----
@@ -92,11 +103,22 @@
     double capacity = 0;
     std::optional<Micros> off, banned;  // since when it must not get new work
     std::deque<std::pair<Micros, double>> sent;
+    std::string zone;
+    std::uint16_t cell = 0;
+    bool serves = true;
+  };
+  struct Ran {  // the first attempt that may have run
+    Micros sent{};
+    std::string node, zone;
+    std::uint16_t cell = 0;
   };
   struct Watched {
     Micros deadline{};
     std::uint32_t most_attempts = 1, attempts = 0;
     std::multiset<std::string> out;
+    Terms terms;
+    Micros last_sent{};
+    std::optional<Ran> ran;
     std::map<std::string, Micros> holders;  // since when the state waits there with no attempt out
     int answers = 0;
     bool started = false, left = false, late = false;
@@ -104,6 +126,7 @@
     std::set<std::string> told_held;
   };
   void breach(Rule rule, Micros at, const std::string& request, const std::string& node, std::string what);
+  void repeated(Micros now, const std::string& request, const std::string& name, const Watched& one);
   void cold(Micros now, const std::string& request, const std::string& name, Node& node, double tokens);
   void judge_turns(Micros up_to);
   Micros move(Micros now) { return now_ = std::max(now_, now); }
--- /dev/null
+++ b/tests/core/play.cpp
@@ -0,0 +1,459 @@
+#include "core/play.h"
+
+#include <cmath>
+
+namespace lemonroute::property {
+namespace {
+
+constexpr Micros hop = 1ms, most_time = 8s, settles_for = 30s;
+// Prompt tokens a second that a warm node reads.
+constexpr double capacity = 8000, mean_prompt = 550;
+
+}  // namespace
+
+// ---- What happens at the edges ------------------------------------------------------------------------------
+
+struct Play::Run : Call {
+  Run(Play& play, Place& place, Asker& asker, Attempt& attempt) : play(play), place(place), asker(asker), attempt(attempt) {
+    place.calls.insert(this);
+  }
+  ~Run() override { play.let_go(*this); }
+  bool unsent() const override { return !sent; }
+  void hold_back(bool on) override;
+  Play& play;
+  Place& place;
+  Asker& asker;
+  Attempt& attempt;
+  bool sent = false, begun = false, over = false, held_back = false, paused = false;
+  int left = 0;  // events of its stream
+  std::optional<Timers::Id> timer;
+};
+
+struct Play::Asker : Client {
+  Asker(Play& play, std::string name) : play(play), name(std::move(name)) {}
+  bool event(std::string_view) override {
+    ++events;
+    if (!std::exchange(begun, true)) play.monitor_.first(play.clock_.at, name);
+    if (!play.draw_.one_in(8)) return true;
+    ++play.seen_.held_back;
+    play.at(play.clock_.at + play.draw_.up_to(300ms), [this] {
+      if (open) play.core_.drained(id);
+    });
+    return false;
+  }
+  void finish() override { end(play.seen_.served, "served"); }
+  void refuse(Micros away) override {
+    if (away < Micros(0) || away > (play.settings_.retry_after ? play.settings_.max_retry_after : Micros(0)))
+      play.fault(name + " is told to stay away for longer than the settings allow");
+    open = false;
+    ++play.seen_.refused;
+    play.monitor_.refused(play.clock_.at, name);
+  }
+  void fail(Failure) override { end(play.seen_.failed, "failed"); }
+  void cut() override { end(play.seen_.cut, "cut"); }
+  void end(int& count, const char* how) {
+    open = false;
+    ++count;
+    play.monitor_.answered(play.clock_.at, name, how);
+  }
+  Play& play;
+  std::string name;
+  RequestId id = 0;
+  Effect effect = Effect::safe;
+  bool open = true, begun = false;
+  double tokens = 0;
+  int events = 0;
+  bool served_at = false;  // an attempt that may have run has ended
+  Run* live = nullptr;
+};
+
+struct Play::Releasing : Call {
+  explicit Releasing(Play& play) : play(play) {}
+  ~Releasing() override {
+    if (timer) play.timers_.drop(*timer);
+  }
+  Play& play;
+  std::optional<Timers::Id> timer;
+};
+
+void Play::Run::hold_back(bool on) {
+  held_back = on;
+  if (on || !std::exchange(paused, false)) return;
+  play.later(*this, hop, [this] { play.stream(*this, left); });
+}
+
+// ---- The schedule -------------------------------------------------------------------------------------------
+
+rules::Limits Play::limits_of(const Settings& settings) {
+  rules::Limits limits;
+  limits.drain_grace = settings.drain_grace;
+  limits.held = settings.release_within + 300ms;  // the way of the call included
+  limits.cold_for = settings.cold_for;
+  limits.cold_window = settings.fall_window;
+  limits.cold_from = settings.cold_from;
+  limits.siblings = settings.siblings;
+  // Of requests of mean work a cold node bears n, and what chance adds to that.
+  const double tokens = settings.cold_from * capacity * std::chrono::duration<double>(settings.fall_window).count() / settings.siblings;
+  const double n = settings.fall_multiple * tokens / mean_prompt;
+  limits.cold_multiple = (n + 3 * std::sqrt(n) + 3) * mean_prompt / tokens;
+  return limits;
+}
+
+Play::Play(std::uint64_t seed, Seen& seen)
+    : seen_(seen),
+      draw_(seed),
+      monitor_(rules::Limits{}),
+      settings_(draw_.settings()),
+      core_(settings_, {"z1", "z2"}, {"r", "w", "m"}, seed, clock_, *this) {
+  monitor_.limit(limits_of(settings_));
+  for (const char* name : {"r1", "r2", "r3", "w1", "w2", "w3", "m1"}) {
+    if (name[0] == 'm' && !draw_.one_in(4)) continue;
+    Place& place = nodes_[name];
+    place.name = name;
+    place.zone = draw_.one_in(2) ? "z1" : "z2";
+    place.cell = static_cast<std::uint16_t>(1 + draw_.below(2));
+    place.role = name[0] == 'r' ? Role::read : name[0] == 'w' ? Role::write : Role::both;
+    monitor_.placed(name, place.zone, place.cell, place.role != Role::read);
+  }
+  list_all();
+}
+
+Play::~Play() = default;
+
+std::string Play::run() {
+  plan();
+  go();
+  monitor_.finish(clock_.at);
+  if (!core_.idle()) fault("the core is not idle at the end");
+  if (!fault_.empty()) return fault_;
+  return monitor_.breaches().empty() ? "" : monitor_.breaches().front().text(24h);
+}
+
+void Play::plan() {
+  const auto some = [&](std::size_t least, std::size_t most, auto job) {
+    for (auto n = least + draw_.below(most - least + 1); n > 0; --n) at(clock_.at + draw_.up_to(most_time), job);
+  };
+  some(3, 14, [this] { ask(); });
+  some(0, 8, [this] { trouble(); });
+  if (draw_.one_in(2)) some(1, 3, [this] { retune(); });
+  if (draw_.one_in(6)) some(1, 1, [this] { end_waits(); });
+  if (draw_.one_in(8)) some(1, 1, [this] { crowd(); });
+}
+
+void Play::go() {
+  const Micros end = clock_.at + most_time + settles_for;
+  while (fault_.empty()) {
+    const auto ours = timers_.next(), theirs = core_.next_due();
+    if (!ours && (!theirs || core_.idle())) return;
+    const Micros next = std::min(ours.value_or(Micros::max()), theirs.value_or(Micros::max()));
+    if (next > clock_.at) moment_over();
+    clock_.at = std::max(clock_.at, next);
+    if (clock_.at > end) return;
+    monitor_.advance(clock_.at);
+    if (ours && *ours <= next) timers_.run(clock_.at);
+    else core_.run_due();
+  }
+}
+
+// Before the clock moves on: whoever waits has an attempt under way, or has had the answer.
+void Play::moment_over() {
+  for (const auto& [name, one] : askers_)
+    if (one->open && !one->live) fault(name + " waits and nothing is done for it");
+  if (waits_end_ && clock_.at >= *waits_end_)
+    for (const auto& [name, one] : askers_)
+      if (one->open && !one->begun) fault(name + " still waits when all waiting was to end");
+}
+
+void Play::ask() {
+  const std::string name = "q" + std::to_string(askers_.size());
+  auto& one = *(askers_[name] = std::make_unique<Asker>(*this, name));
+  const auto& c = settings_.classes[draw_.below(settings_.classes.size())];
+  one.effect = c.effect;
+  Inquiry inquiry;
+  inquiry.prompt = {name, "/", std::make_shared<std::string>("{}")};
+  inquiry.kind = c.name;
+  inquiry.session = draw_.below(5);
+  inquiry.shared = draw_.below(3);
+  inquiry.budget = draw_.one_in(3) ? 100ms + draw_.up_to(4s) : c.deadline;
+  inquiry.prompt_tokens = static_cast<double>(50 + draw_.below(1000));
+  one.tokens = inquiry.prompt_tokens;
+  inquiry.shared_tokens = inquiry.prompt_tokens / 2;
+  inquiry.max_output = 100;
+  monitor_.taken(clock_.at, name, clock_.at + inquiry.budget, settings_.max_attempts, {c.effect, c.group, c.window});
+  if (core_.take(inquiry, one, one.id) != Conductor::Taken::yes) fault(name + " is not taken");
+  if (draw_.one_in(3))
+    at(clock_.at + draw_.up_to(draw_.one_in(2) ? inquiry.budget : inquiry.budget / 8), [this, &one] { leave(one); });
+}
+
+// Most of one stage start anew, and many ask just then.
+void Play::crowd() {
+  // The module takes the load that warm nodes are sent, over its longest deadline, for what they bear: with deadlines
+  // shorter than a crowd that is the crowd itself, and the nodes here bear anything.
+  if (std::none_of(settings_.classes.begin(), settings_.classes.end(), [](auto& c) { return c.deadline >= 3s; })) return;
+  const Role role = draw_.any({Role::read, Role::write});
+  for (auto& [name, place] : nodes_)
+    if (place.role == role && !draw_.one_in(3)) start(place);
+  for (auto n = 10 + draw_.below(40); n > 0; --n) at(clock_.at + draw_.up_to(1500ms), [this] { ask(); });
+}
+
+void Play::leave(Asker& one) {
+  if (!one.open) return;
+  one.open = false;
+  ++seen_.left;
+  seen_.left_waiting += one.live && !one.live->sent;
+  monitor_.left(clock_.at, one.name);
+  core_.gone(one.id);
+  if (one.live && (settings_.may_cancel || one.live->begun || !one.live->sent)) fault(one.name + "'s attempt goes on, its client has gone");
+}
+
+void Play::end_waits() {
+  waits_end_ = clock_.at + draw_.up_to(1s);
+  ++seen_.ended_early;
+  core_.end_waits(*waits_end_);
+}
+
+// ---- Nodes, discovery and operators -------------------------------------------------------------------------
+
+Conductor::Listed Play::entry(const Place& place) const {
+  return {place.name, "127.0.0.1:1", place.zone, place.name.substr(0, 1), place.cell, place.phase, 1, place.started};
+}
+void Play::list(Place& place) {
+  monitor_.listed(clock_.at, place.name, place.phase, place.started, capacity);
+  core_.update(ListKind::delta, ++version_, {entry(place)});
+}
+void Play::list_all() {
+  std::vector<Conductor::Listed> all;
+  for (auto& [name, place] : nodes_) {
+    monitor_.listed(clock_.at, name, place.phase, place.started, capacity);
+    if (place.phase != Phase::gone) all.push_back(entry(place));
+  }
+  core_.update(ListKind::full, ++version_, all);
+}
+
+void Play::trouble() {
+  auto it = nodes_.begin();
+  std::advance(it, static_cast<std::ptrdiff_t>(draw_.below(nodes_.size())));
+  Place& place = it->second;
+  // A state is let go of in time past two lost nodes, not past any number.
+  const auto lost = std::count_if(nodes_.begin(), nodes_.end(), [&](auto& one) {
+    return one.second.phase != Phase::gone && (!one.second.alive || clock_.at < one.second.silent_until);
+  });
+  switch (lost < 2 ? draw_.below(7) : 4 + draw_.below(3)) {
+    case 0: return drain(place);
+    case 1: case 2: {  // its process dies, another one starts; discovery tells of it late
+      die(place);
+      return at(clock_.at + draw_.up_to(1s), [this, &place] {
+        place.alive = true;
+        at(clock_.at + draw_.up_to(500ms), [this, &place, since = clock_.at] {
+          place.started = since;
+          place.phase = Phase::ready;
+          list(place);
+        });
+      });
+    }
+    case 3: return void(place.silent_until = clock_.at + draw_.up_to(2s));
+    case 4: return list_all();
+    case 5: {
+      if (core_.take_out(place.name) != Conductor::Ordered::done) return;
+      monitor_.banned(clock_.at, place.name);
+      return at(clock_.at + draw_.up_to(2s), [this, &place] {
+        core_.put_back(place.name);
+        monitor_.unbanned(clock_.at, place.name);
+      });
+    }
+    default: return draw_.one_in(2) ? go_away(place) : start(place);
+  }
+}
+
+void Play::drain(Place& place) {  // and it comes back, or goes
+  place.phase = Phase::draining;
+  list(place);
+  at(clock_.at + draw_.up_to(3s), [this, &place] {
+    if (draw_.one_in(2)) return go_away(place);
+    place.phase = Phase::ready;
+    list(place);
+  });
+}
+
+void Play::go_away(Place& place) {  // for good: its process has ended
+  die(place);
+  place.phase = Phase::gone;
+  list(place);
+}
+
+void Play::start(Place& place) {
+  if (place.alive) die(place);
+  place.alive = true;
+  place.started = clock_.at;
+  place.phase = Phase::ready;
+  list(place);
+}
+
+// What SIGHUP may bring. What was taken keeps the terms of its class.
+void Play::retune() {
+  // A state that waits already is judged by one figure.
+  const Micros within = settings_.release_within;
+  settings_ = draw_.settings();
+  settings_.release_within = within;
+  seen_.retuned_open += core_.open() > 0;
+  monitor_.limit(limits_of(settings_));
+  core_.retune(settings_, {"z1", "z2"}, {"r", "w", "m"});
+}
+
+void Play::die(Place& place) {
+  place.alive = false;
+  for (const auto& request : std::exchange(place.held, {})) monitor_.freed(clock_.at, request, place.name);
+  for (Run* run : std::vector<Run*>(place.calls.begin(), place.calls.end()))
+    if (place.calls.count(run)) end(*run, {run->sent ? Outcome::reset : Outcome::connect_failed, 0, {}, {}});
+}
+
+void Play::hold(const std::string& request, Place& place) {
+  place.held.insert(request);
+  monitor_.held(clock_.at, request, place.name);
+}
+void Play::free_everywhere(const std::string& request) {
+  for (auto& [name, place] : nodes_)
+    if (place.held.erase(request)) monitor_.freed(clock_.at, request, name);
+}
+
+// ---- Attempts -----------------------------------------------------------------------------------------------
+
+void Play::later(Run& run, Micros after, std::function<void()> job) {
+  if (run.timer) timers_.drop(*run.timer);
+  run.timer = timers_.add(clock_.at + after, [&run, job = std::move(job)] {
+    run.timer.reset();
+    const auto kept = job;  // the call may be let go of, and this with it
+    kept();
+  });
+}
+
+std::unique_ptr<Call> Play::begin(const Node& node, const Prompt& prompt, Micros, Attempt& attempt) {
+  Asker& asker = *askers_.at(prompt.id);
+  if (asker.live) fault(prompt.id + " has two attempts out at once");
+  if (!asker.open) fault(prompt.id + " is sent on after its end");
+  Place& place = nodes_.at(node.name);
+  auto call = std::make_unique<Run>(*this, place, asker, attempt);
+  Run& run = *call;
+  asker.live = &run;
+  const auto connects = draw_.connecting();
+  if (!place.alive)
+    later(run, hop, [this, &run] { end(run, {Outcome::connect_failed, 0, {}, {}}); });
+  else if (connects == Micros(0)) send(run);
+  else if (!connects || *connects >= settings_.connect_timeout)
+    later(run, settings_.connect_timeout, [this, &run] { end(run, {Outcome::connect_failed, 0, {}, {}}); });
+  else {
+    later(run, *connects, [this, &run] {
+      ++seen_.late_connections;
+      send(run);
+    });
+    // What may happen meanwhile is worth trying more often than by chance.
+    if (draw_.one_in(6)) at(clock_.at + draw_.up_to(*connects), [this, &place] { drain(place); });
+    if (draw_.one_in(6)) at(clock_.at + draw_.up_to(*connects), [this, &asker] { leave(asker); });
+  }
+  return call;
+}
+
+// The request leaves.
+void Play::send(Run& run) {
+  Asker& asker = run.asker;
+  run.sent = true;
+  seen_.to_leaving += run.place.phase != Phase::ready;
+  if (run.place.role != Role::read && asker.served_at) ++(asker.effect == Effect::keyed ? seen_.keyed_repeats : seen_.repeats);
+  monitor_.sent(clock_.at, asker.name, run.place.name, asker.tokens);
+  if (clock_.at < run.place.silent_until) return;
+  run.place.role == Role::write ? write(run) : read(run);
+}
+
+void Play::read(Run& run) {
+  const Micros alone(static_cast<Micros::rep>(run.asker.tokens / capacity * 1e6));
+  const Micros span = alone + draw_.up_to(draw_.one_in(4) ? 800ms : 50ms);
+  const auto outcome = draw_.any({Outcome::read, Outcome::read, Outcome::read, Outcome::read, Outcome::read, Outcome::full,
+                                  Outcome::error, Outcome::reset, Outcome::connect_failed, Outcome::timeout});
+  if (outcome == Outcome::timeout) return;  // it never says a word
+  later(run, span, [this, &run, outcome] {
+    const bool well = outcome == Outcome::read;
+    if (well && run.place.role == Role::both) return stream(run, 3);
+    if (well || (outcome == Outcome::reset && run.place.role == Role::read && draw_.one_in(2))) hold(run.asker.name, run.place);
+    end(run, {outcome, 0, {}, {}});
+  });
+}
+
+void Play::write(Run& run) {
+  const bool there = std::any_of(nodes_.begin(), nodes_.end(), [&](auto& one) { return one.second.held.count(run.asker.name) > 0; });
+  const auto outcome = draw_.any({Outcome::ok, Outcome::ok, Outcome::ok, Outcome::ok, Outcome::full, Outcome::error, Outcome::reset,
+                                  Outcome::connect_failed, Outcome::timeout});
+  const Micros span = hop + draw_.up_to(draw_.one_in(4) ? 600ms : 80ms);
+  if (!there || draw_.one_in(16)) {
+    ++seen_.lost_state;
+    return later(run, hop, [this, &run] { end(run, {Outcome::full, 1, {}, {}}); });
+  }
+  if (outcome == Outcome::timeout) return;
+  later(run, span, [this, &run, outcome] {
+    if (outcome == Outcome::ok) return stream(run, static_cast<int>(1 + draw_.below(4)));
+    end(run, {outcome, 0, {}, {}});
+  });
+}
+
+// Each event has to be with the client by the time its node has told it.
+void Play::stream(Run& run, int left) {
+  run.left = left;
+  if (run.held_back) {
+    run.paused = true;
+    return;
+  }
+  if (!std::exchange(run.begun, true)) free_everywhere(run.asker.name);
+  Asker& asker = run.asker;
+  Place& place = run.place;
+  const int before = asker.events;
+  run.attempt.event("x");
+  if (asker.open && asker.events != before + 1) fault(asker.name + " waits for an event that has come");
+  if (!place.calls.count(&run)) return;
+  const auto how = draw_.below(12);
+  if (how == 0) return;  // it falls silent
+  later(run, hop + draw_.up_to(200ms), [this, &run, left, how] {
+    if (how == 1) return end(run, {Outcome::reset, 0, {}, {}});
+    if (left > 1) return stream(run, left - 1);
+    end(run, {Outcome::ok, 0, {}, {}});
+  });
+}
+
+void Play::end(Run& run, Result result) {
+  run.over = true;
+  if (run.timer) timers_.drop(*run.timer);
+  run.timer.reset();
+  const bool ran = run.begun || (result.outcome != Outcome::full && result.outcome != Outcome::connect_failed && result.outcome != Outcome::read);
+  if (run.sent) {
+    monitor_.over(clock_.at, run.asker.name, run.place.name, ran);
+    run.asker.served_at |= ran && run.place.role != Role::read;
+  }
+  run.asker.live = nullptr;
+  run.attempt.done(std::move(result));  // the call is gone now
+}
+
+// The core has let go of it. A read may have ended well in that very moment.
+void Play::let_go(Run& run) {
+  if (run.timer) timers_.drop(*run.timer);
+  run.place.calls.erase(&run);
+  if (run.over) return;
+  run.asker.live = nullptr;
+  if (!run.sent) return void(++seen_.unsent_dropped);
+  if (run.place.role == Role::read && run.place.alive && draw_.one_in(3)) hold(run.asker.name, run.place);
+  monitor_.over(clock_.at, run.asker.name, run.place.name);
+  run.asker.served_at |= run.place.role != Role::read;
+}
+
+std::unique_ptr<Call> Play::release(const Node& node, const std::string& id, std::function<void(bool)> done) {
+  auto call = std::make_unique<Releasing>(*this);
+  Place& place = nodes_.at(node.name);
+  if (clock_.at < place.silent_until) return call;
+  call->timer = timers_.add(clock_.at + hop + draw_.up_to(20ms), [this, &place, id, call = call.get(), done = std::move(done)] {
+    call->timer.reset();
+    const auto told = done;
+    const bool arrives = place.alive && clock_.at >= place.silent_until;
+    if (arrives) ++seen_.released, free_everywhere(id);
+    told(arrives);
+  });
+  return call;
+}
+
+}  // namespace lemonroute::property
--- a/tests/monitor_test.cpp
+++ b/tests/monitor_test.cpp
@@ -308,6 +308,54 @@
   EXPECT_EQ(broken(), "");
 }
 
+// What may have run is repeated as its class allows: in its group and window, never, or at will.
+struct Repeats : Watch {
+  void SetUp() override {
+    Watch::SetUp();
+    m.placed("r", "z1", 1, false);
+    m.placed("w", "z1", 1, true);
+    m.placed("w2", "z1", 2, true);
+    m.placed("w3", "z2", 3, true);
+  }
+  std::string after(Terms terms, const std::string& node, Micros wait, bool ran = true) {
+    Monitor fresh = m;
+    fresh.taken(100s, "k", 106s, 3, terms);
+    fresh.sent(100s, "k", "w", 100);
+    fresh.over(101s, "k", "w", ran);
+    fresh.sent(100s + wait, "k", node, 100);
+    return fresh.breaches().empty() ? "" : fresh.breaches()[0].what;
+  }
+};
+TEST_F(Repeats, AsTheClassAllows) {
+  const Terms once{Effect::unsafe, Group::all, 0s}, all{Effect::keyed, Group::all, 2s}, zone{Effect::keyed, Group::zone, 2s},
+      cell{Effect::keyed, Group::cell, 2s};
+  EXPECT_EQ(after({}, "w3", 4s), "");
+  EXPECT_NE(after(once, "w", 1s), "");
+  EXPECT_EQ(after(once, "w", 1s, false), "");
+  EXPECT_EQ(after(once, "r", 1s), "");  // reading has no effect
+  EXPECT_EQ(after(all, "w3", 1999ms), "");
+  EXPECT_NE(after(all, "w3", 2s).find("its window is 2000 ms"), std::string::npos);
+  EXPECT_EQ(after(zone, "w2", 1s), "");
+  EXPECT_NE(after(zone, "w3", 1s).find("outside the group"), std::string::npos);
+  EXPECT_EQ(after(cell, "w", 1s), "");
+  EXPECT_NE(after(cell, "w2", 1s).find("outside the group"), std::string::npos);
+}
+TEST_F(Repeats, ARefusalSaysThatTryingAgainIsHarmless) {
+  const auto refused = [&](Terms terms, bool ran) {
+    Monitor fresh = m;
+    fresh.taken(100s, "k", 106s, 3, terms);
+    fresh.sent(100s, "k", "w", 100);
+    fresh.over(101s, "k", "w", ran);
+    fresh.refused(101s, "k");
+    return fresh.breaches().size();
+  };
+  EXPECT_EQ(refused({}, true), 0u);
+  EXPECT_EQ(refused({Effect::unsafe, Group::all, 0s}, false), 0u);
+  EXPECT_EQ(refused({Effect::unsafe, Group::all, 0s}, true), 1u);
+  EXPECT_EQ(refused({Effect::keyed, Group::all, 2s}, true), 0u);
+  EXPECT_EQ(refused({Effect::keyed, Group::cell, 2s}, true), 1u);
+}
+
 TEST_F(Watch, TimeNeverGoesBack) {
   m.advance(105s);
   m.answered(90s, "q", "refused");
