A prefill is overdue after one and a half unmatched prefills, not two and a half

Change: the factor for the unmatched read is its own, 1.5; a test of a read whose match is gone, which fails without.

--- a/src/module/attempts.h
+++ b/src/module/attempts.h
@@ -8,7 +8,8 @@
 
 namespace lemonroute::decisions {
 
-constexpr double timeout_factor = 2.5;  // an attempt this many times over its estimate is overdue
+constexpr double timeout_factor = 2.5;    // an attempt this many times over its estimate is overdue,
+constexpr double unmatched_factor = 1.5;  // a prefill not before so many times over that without its match
 
 inline void set_timer(State& s, const Job& job, std::uint16_t index, double after) {
   const auto cookie = s.next_cookie++;
@@ -39,7 +40,8 @@
   // Danger: a prefix that is not kept any more makes a prefill many times longer; that is no sign of a bad
   // node, and a cancelled prefill is done again elsewhere, from the start: all become late together.
   const double unmatched = a.prefill ? pick.wait + job.prompt * rate : 0;
-  a.timeout = std::max({timeout_factor * std::max(expect, unmatched), job.aim / 3, us(s.settings.tick)});
+  const double least = std::max(job.aim / 3, us(s.settings.tick));
+  a.timeout = std::max({timeout_factor * expect, unmatched_factor * unmatched, least});
   job.attempts.push_back(a);
   const auto index = static_cast<std::uint16_t>(job.attempts.size() - 1);
   node.out.push_back({job.request.id, index});
--- a/tests/failure_test.cpp
+++ b/tests/failure_test.cpp
@@ -26,6 +26,19 @@
   EXPECT_EQ(next, 3 - stuck);
 }
 
+// A prefix that was evicted makes the read many times longer than its estimate, at every reader alike.
+TEST(Overdue, ReadWithoutItsMatchIsLetEnd) {
+  Bed bed;
+  bed.list({host(1, reader_kind), host(2, reader_kind), host(9, writer_kind)});
+  for (int i = 0; i < 12; ++i) bed.serve(bed.request(40000), 1s);  // 25 us a token
+  for (int i = 0; i < 12; ++i) bed.serve(bed.request(40010, 0, 0, 5, 40000), 20ms, 40000);
+  bed.pass(bed.now + 100ms);
+  bed.feed(bed.request(40010, 0, 0, 5, 40000));
+  const Micros sent = bed.now;
+  EXPECT_EQ(Bed::find<Cancel>(bed.pass(sent + 1400ms)), nullptr);  // a third of its aim is 0.87 s
+  EXPECT_NE(Bed::find<Cancel>(bed.pass(sent + 4s)), nullptr);      // it is not waited for without end
+}
+
 TEST(Overdue, UnsafeAtAWriterIsNeverCalledOff) {
   Bed bed;
   bed.list({host(1, reader_kind), host(8, writer_kind), host(9, writer_kind)});
