--- /dev/null
+++ b/tests/core/play_parts.h
@@ -0,0 +1,75 @@
+// What the files of a schedule share: an attempt at a node, a client, a call that lets a state go.
+#pragma once
+
+#include "core/play.h"
+
+namespace lemonroute::property {
+
+constexpr Micros hop = 1ms;
+// Prompt tokens a second that a warm node reads.
+constexpr double capacity = 8000;
+
+struct Play::Run : Call {
+  Run(Play& play, Place& place, Asker& asker, Attempt& attempt) : play(play), place(place), asker(asker), attempt(attempt) {
+    place.calls.insert(this);
+  }
+  ~Run() override { play.let_go(*this); }
+  bool unsent() const override { return !sent; }
+  void hold_back(bool on) override;
+  Play& play;
+  Place& place;
+  Asker& asker;
+  Attempt& attempt;
+  bool sent = false, begun = false, over = false, held_back = false, paused = false;
+  int left = 0;  // events of its stream
+  std::optional<Timers::Id> timer;
+};
+
+struct Play::Asker : Client {
+  Asker(Play& play, std::string name) : play(play), name(std::move(name)) {}
+  bool event(std::string_view) override {
+    ++events;
+    if (!std::exchange(begun, true)) play.monitor_.first(play.clock_.at, name);
+    if (!play.draw_.one_in(8)) return true;
+    ++play.seen_.held_back;
+    play.at(play.clock_.at + play.draw_.up_to(300ms), [this] {
+      if (open) play.core_.drained(id);
+    });
+    return false;
+  }
+  void finish() override { end(play.seen_.served, "served"); }
+  void refuse(Micros away) override {
+    if (away < Micros(0) || away > (play.settings_.retry_after ? play.settings_.max_retry_after : Micros(0)))
+      play.fault(name + " is told to stay away for longer than the settings allow");
+    open = false;
+    ++play.seen_.refused;
+    play.monitor_.refused(play.clock_.at, name);
+  }
+  void fail(Failure) override { end(play.seen_.failed, "failed"); }
+  void cut() override { end(play.seen_.cut, "cut"); }
+  void end(int& count, const char* how) {
+    open = false;
+    ++count;
+    play.monitor_.answered(play.clock_.at, name, how);
+  }
+  Play& play;
+  std::string name;
+  RequestId id = 0;
+  Effect effect = Effect::safe;
+  bool open = true, begun = false;
+  double tokens = 0;
+  int events = 0;
+  bool served_at = false;  // an attempt that may have run has ended
+  Run* live = nullptr;
+};
+
+struct Play::Releasing : Call {
+  explicit Releasing(Play& play) : play(play) {}
+  ~Releasing() override {
+    if (timer) play.timers_.drop(*timer);
+  }
+  Play& play;
+  std::optional<Timers::Id> timer;
+};
+
+}  // namespace lemonroute::property
