Only a guessed match lengthens a prefill's time-out; one that was read here does not

Cause: the shipped expectation of a lost site failed (first event after 3.5 s, 2.5 s wanted): a silent reader that this conductor has itself read at got the longer time-out as well. Change: the unmatched read is counted from the match that is recorded, not from nothing.

--- a/src/module/attempts.h
+++ b/src/module/attempts.h
@@ -39,7 +39,7 @@
   a.tokens = std::max(0.0, job.prompt - (a.prefill ? pick.credit : 0));
   // Danger: a prefix that is not kept any more makes a prefill many times longer; that is no sign of a bad
   // node, and a cancelled prefill is done again elsewhere, from the start: all become late together.
-  const double unmatched = a.prefill ? pick.wait + job.prompt * rate : 0;
+  const double unmatched = a.prefill ? pick.wait + (job.prompt - a.credit) * rate : 0;  // no guess counts
   const double least = std::max(job.aim / 3, us(s.settings.tick));
   a.timeout = std::max({timeout_factor * expect, unmatched_factor * unmatched, least});
   job.attempts.push_back(a);
