A cold node's budget is not raised by work that full nodes turn away

Lines at fault: the send's `work_rate`, from which `cold_room` guesses what a node bears, counted each repeat of what full nodes had turned away. Counted now is what they took. The rate from few samples was too low (work over the gap, against the fade) and is now true in the mean.

--- a/src/module/decide.cpp
+++ b/src/module/decide.cpp
@@ -40,7 +40,7 @@
 constexpr double crowding = 8;               // how much dearer read time gets when every reader has a queue
 constexpr double crossing = 0.03;            // of its aim a request may wait longer to stay in its zone
 constexpr double wait_margin = 0.8;  // waits turn out longer than estimated: others' sends are seen late
-constexpr double cold_share = 0.5;   // part of a cold host's allowance that is used at the most
+constexpr double cold_share = 0.6;    // part of a cold host's allowance that is used at the most
 
 struct Outstanding {
   RequestId id;
@@ -470,6 +470,10 @@
   // ---- Admission ----------------------------------------------------------------------------------------
 
   const ClassSettings& cls(const Job& job) const { return *job.terms; }
+  // One more (or, of negative work, one less) in a rate that fades; however few come, its mean is the true one.
+  void flow(Learned& rate, double work) const {
+    rate.add(std::max(0.0, rate.value * rate.fresh(now, fade) + work / us(fade)), now, 1);
+  }
   double work_of(const Job& job) { return std::max(class_work[cls(job).name].value, job.prompt); }
   std::shared_ptr<const ClassSettings> terms(std::uint16_t cls) const {
     static const auto unknown = std::make_shared<const ClassSettings>(ClassSettings{
@@ -692,9 +696,7 @@
     work.add(job.prompt, now);
     usual_prompt.add(job.prompt, now, learn / 4);
     host.sent.emplace_back(now, work.value);
-    const double gap = std::max(1.0, us(now - host.work_rate.at));
-    host.work_rate.add(host.work_rate.known ? work.value / gap : work.value / us(fade), now,
-                       host.work_rate.known ? 1 - std::exp(-gap / us(fade)) : 1);
+    flow(host.work_rate, job.prompt);
     if (a.reading) record(job, pick.host, job.prompt);
     if (a.reading && serves) {
       const double read = a.tokens * per_token;
@@ -855,6 +857,9 @@
                         done.outcome == Outcome::connect_failed ||
                         (!a.started && done.outcome == Outcome::timeout);
     if (served || failed) judge(host, failed);
+    // Danger: what full hosts turn away is sent again, so they look several times as able as they are (rule 4).
+    if (done.outcome == Outcome::full || done.outcome == Outcome::connect_failed)
+      flow(host.work_rate, -job.prompt);
     if (served && a.reading) {
       const double kept = std::min<double>(done.note, job.prompt);
       compare_kept(host, a, kept);
