Where all writers or mixed nodes are new, the last warm one's load goes on to count

What the last warm ones took now goes on to count, as the learned rate does for readers. Test: all nodes new, the least use of 20, 30 and 300 conductors fails without this.

--- a/src/module/decide.cpp
+++ b/src/module/decide.cpp
@@ -219,7 +219,7 @@
     if (surveyed) return;
     surveyed = true;
     for (const Role role : {Role::read, Role::write, Role::both}) {
-      Pool& p = pools[role] = Pool{};
+      Pool& p = pools[role] = Pool{.warm_work = pools[role].warm_work};
       Mean others, own, unread_root, warm_work;
       for (const auto& [id, host] : hosts) {
         if (!host.listed || host.role != role) continue;
@@ -235,9 +235,9 @@
       // The mean of roots, so that one jammed reader does not stand for all.
       p.unread = std::pow(unread_root.value(), 2) +
                  std::max(0.0, inferred[role].value * inferred[role].fresh(now, fade));
-      p.warm_work = warm_work.value();
-      // Danger: the last warm reader drains while its successors are cold. With no warm load to go by they
-      // would get next to nothing; the rate learned from reads tells what a reader can do.
+      if (warm_work.total > 0) p.warm_work = warm_work.value();
+      // Danger: the last warm host drains while its successors are cold. With no warm load to go by they would
+      // get next to nothing; the last one's goes on to count, and of readers the rate learned from reads.
       if (warm_work.total <= 0 && role == Role::read && usual_rate.count(role))
         p.warm_work = 1 / std::max(0.1, usual_rate[role]) / s.siblings;
     }
--- a/tests/slow_start_test.cpp
+++ b/tests/slow_start_test.cpp
@@ -240,6 +240,11 @@
   expect_bounds(GetParam().conductors, false, GetParam().beside_warm);
 }
 
+// With no warm node to go by, what the last one did goes on to count; with nothing at all known, a request a window.
+TEST_P(SlowStart, WhereAllNodesAreNewTheyAreUsed) {
+  expect_bounds(GetParam().conductors, true, GetParam().all_new);
+}
+
 INSTANTIATE_TEST_SUITE_P(Fleets, SlowStart,
                          testing::Values(Size{1, 0.15, 0.2}, Size{3, 0.1, 0.15}, Size{20, 0.1, 0.1},
                                          Size{30, 0.1, 0.1}, Size{300, 0.01, 0.01}),
