A new process counts its first window at a cold node as used

It knows nothing of what its predecessor sent in the running window, but has its rates from the lessons, and sent its whole part again: 14 requests where one at most goes now. Test: SlowStartOfAProcess, fails without this.

--- a/src/module/decide.cpp
+++ b/src/module/decide.cpp
@@ -167,7 +167,8 @@
   Learned any_rate;       // of whatever role read last
   bool reported = false;  // whether any writer's load was
   bool surveyed = false;
-  Learned asked;          // work that comes, served or not
+  Micros since{};  // this process's first event
+  Learned asked;   // work that comes, served or not
   double reading_sum = 0;  // this instance's reading at mixed hosts, fading
   Micros reading_at{};
   Learned coming{0, {}, true};  // tokens that this instance has being read, in the mean
@@ -260,12 +261,13 @@
   // to be at least, spread over the window and divided by the instances. One request in an empty window is
   // let through, so that it can warm up where that takes work; where an instance's part is less than one
   // request, only those do so whose turn it is in this window, by a hash that needs no talking; of an instance to
-  // which fewer than one request comes in a window, each request whose turn it is.
+  // which fewer than one request comes in a window, each request whose turn it is. A new process knows nothing
+  // of what was sent before it began: its first window counts as used.
   bool cold_room(Host& host, double work) {
     while (!host.sent.empty() && now - host.sent.front().first > s.fall_window) host.sent.pop_front();
     if (!cold(host)) return true;
-    const double part =
-        cold_share * s.fall_multiple * s.cold_from * us(s.fall_window) * pool(host.role).warm_work;
+    const double share = now - since < s.fall_window ? 0 : cold_share * s.fall_multiple * s.cold_from;
+    const double part = share * us(s.fall_window) * pool(host.role).warm_work;
     if (host.sent.empty()) {
       const double comes = asked.value * asked.fresh(now, fade) * us(s.fall_window);
       const double usual = usual_prompt.known ? std::min(work, usual_prompt.value) : work;
@@ -990,6 +992,7 @@
 
 void Scheduler::handle(Micros now, const Event& event, std::vector<Action>& actions) {
   core_->now = std::max(core_->now, now);
+  if (core_->since == Micros(0)) core_->since = core_->now;
   core_->actions = &actions;
   core_->surveyed = false;
   std::visit([&](const auto& e) { core_->on(e); }, event);
--- a/tests/slow_start_test.cpp
+++ b/tests/slow_start_test.cpp
@@ -250,5 +250,33 @@
                                          Size{30, 0.1, 0.1}, Size{300, 0.05, 0.02}),
                          [](const auto& size) { return std::to_string(size.param.conductors) + "_conductors"; });
 
+// Its predecessor may have sent its whole part in the running window, and the lessons don't say.
+TEST(SlowStartOfAProcess, SendsAColdNodeOneRequestAtMostInItsFirstWindow) {
+  const auto at_cold = [](Bed& bed, int requests) {
+    int count = 0;
+    for (int i = 0; i < requests; ++i) {
+      const Request r = bed.request();
+      const HostId reader = bed.sent(bed.feed(r));
+      bed.now += 40ms;
+      const HostId writer = bed.sent(bed.complete(r.id, 0, reader, Outcome::read, 40ms));
+      bed.first(r.id, 1, writer);
+      bed.complete(r.id, 1, writer, Outcome::ok, 60ms, 0, true);
+      count += reader == 2;
+    }
+    return count;
+  };
+  Bed old;
+  old.list({host(1, reader_kind), host(9, writer_kind)});
+  at_cold(old, 500);
+  Bed fresh;
+  fresh.now = old.now;
+  auto cold = host(2, reader_kind);
+  cold.started = old.now - 1s;
+  fresh.list({host(1, reader_kind), cold, host(9, writer_kind)});
+  fresh.scheduler.believe(fresh.now, old.scheduler.lessons(old.now));
+  EXPECT_LE(at_cold(fresh, 70), 1);  // 2.8 s of the 3 s
+  EXPECT_GE(at_cold(fresh, 80), 5) << "it has to warm up";
+}
+
 }  // namespace
 }  // namespace lemonroute::test
