--- a/src/core/router/release_targets.cpp
+++ b/src/core/router/release_targets.cpp
@@ -76,7 +76,7 @@
 // may still end are asked.
 const Node* Router::asked_to_release(const PendingRelease& released) const {
   const Node* holder = holder_to_ask(released);
-  if (released.arrived && (released.tries % 2 == 0 || !asks_others_too(released)))
+  if (released.arrived && holder && (released.tries % 2 == 0 || !asks_others_too(released)))
     return holder;
   if (!released.arrived && holder && released.tries % release_round == 0)
     return holder;
--- a/src/core/router/releases.cpp
+++ b/src/core/router/releases.cpp
@@ -16,10 +16,11 @@
 constexpr Micros stream_looked_at = milliseconds(250);  // how often, while a stream has to end first
 constexpr Micros release_for = seconds(30);             // a network cut may last so long
 constexpr Micros release_after_waits =
-    milliseconds(300);                           // of a process that ends; it is killed 200 ms later
-constexpr std::size_t most_open = 3;             // calls under way for one state,
-constexpr std::size_t most_open_of_all = 128;    // and of all of them together
-constexpr Micros least_open = milliseconds(20);  // before a call makes room for another one
+    milliseconds(300);                             // of a process that ends; it is killed 200 ms later
+constexpr std::size_t most_open = 3;               // calls under way for one state,
+constexpr std::size_t most_open_of_all = 128;      // and of all of them together
+constexpr Micros least_open = milliseconds(20);    // before a call makes room for another one
+constexpr Micros clock_error = milliseconds(500);  // between the clocks of a node and of this process
 
 }  // namespace
 
@@ -93,15 +94,16 @@
   return awaits_attempt && entry->state_waits && clock_.now() < release_begins(*entry->state_waits);
 }
 
-// A node's process that was started anew holds nothing of before. Of one that has gone that is not certain,
-// another node may tell it; unless one has been told already.
+// A node's process that was started anew holds nothing of before. Of one that has gone from the list that is
+// not certain: it may hang, and end its read well when it goes on. So others are told for as long as they are
+// for a holder that is listed.
 void Router::forget_ended_holders(PendingRelease& released) const {
   std::erase_if(released.holders, [&](const StateHolder& holder) {
     const auto node = known_.find(holder.host);
     if (node == known_.end())
-      return released.arrived;
+      return released.arrived && !asks_others_too(released);
     const Micros started = node->second.listed_start;
-    return started != holder.process && started >= holder.since;
+    return started != holder.process && started >= holder.since + clock_error;
   });
   // Whose state streams now has been asked for it.
   const RequestState* entry = find(released.request);
--- a/tests/held/world.h
+++ b/tests/held/world.h
@@ -41,6 +41,7 @@
     Role role = Role::read;
     Phase phase = Phase::ready;
     Micros started{};
+    Micros clock_error{};  // of what it states of its start
     int process = 0;
     bool alive = true;    // its process runs
     bool machine = true;  // its machine answers, if only with a reset
