A read that is called off is released before the next one goes out

What a read that is called off may leave is released as it is closed, at its node and one other, and an answer then is final. Beside a prefill a release begins after half of the settings' time only, and is final too, since a prefill waits for no state. The nodes of the drawn schedules do the same.

--- a/src/core/router.h
+++ b/src/core/router.h
@@ -129,6 +129,10 @@
   void start_release(const RequestState& entry, const std::vector<StateHolder>& holders);
   void release_unless_taken(AttemptState& attempt);
   void let_go_untaken(RequestState& entry);
+  void let_go_called_off(RequestState& entry, AttemptState& attempt);
+  static bool awaits_answer(const RequestState& entry);
+  static bool prefills(const RequestState& entry);
+  static bool decodes(const RequestState& entry);
   void let_go_leftovers(RequestState& entry);
   void try_release(PendingRelease& released);
   void ask_to_release(PendingRelease& released, const Node& node);
--- a/src/core/router/actions.cpp
+++ b/src/core/router/actions.cpp
@@ -96,6 +96,7 @@
   if (attempt.unsent() || !entry->client)  // no next attempt that could overtake it
     return done(attempt, called_off);
   attempt.call.reset();
+  let_go_called_off(*entry, attempt);
   const Micros heard = std::min(clock_.now() + end_is_heard, attempt.timer.first);
   timers_.drop(attempt.timer);
   attempt.timer = timers_.add(heard, [this, &attempt, called_off] { done(attempt, called_off); });
--- a/src/core/router/attempts.cpp
+++ b/src/core/router/attempts.cpp
@@ -159,7 +159,7 @@
   const Micros now = clock_.now();
   const bool lost = result.outcome == Outcome::full && result.kept == 1;
   const bool read = result.outcome == Outcome::read;
-  const bool cut = !never_ran && ended.role != Role::write && !ended.started && !read;
+  const bool cut = !never_ran && !ended.let_go && ended.role != Role::write && !ended.started && !read;
   entry.holds = read || (entry.holds && !lost && !ended.started);
   // An answer of its node says that an earlier read there, whose connection was closed, has come to its end.
   if (read || cut)
--- a/src/core/router/parts.h
+++ b/src/core/router/parts.h
@@ -42,6 +42,7 @@
   Role role;
   Micros sent;
   bool started = false;
+  bool let_go = false;  // a release of what it may leave was ordered as it was closed
   std::unique_ptr<Call> call;
   Timers::Id timer;                       // its time-out, and once it streams the watch for silence
   std::optional<Timers::Id> begin_timer;  // until then it has to have begun, or it does not begin any more
--- a/src/core/router/releases.cpp
+++ b/src/core/router/releases.cpp
@@ -53,6 +53,23 @@
   entry.state_waits.reset();
 }
 
+// What a read that is called off may leave is let go of before the next one goes out: a release that comes
+// later would take away what that one leaves. Its node is late, so another one is asked beside it.
+void Router::let_go_called_off(RequestState& entry, AttemptState& attempt) {
+  if (attempt.role == Role::write || entry.holds)
+    return;
+  attempt.let_go = true;
+  std::erase_if(entry.leftovers, [&](const auto& left) { return left.host == attempt.host; });
+  entry.leftovers.push_back({attempt.host, attempt.process, clock_.now(), true});
+  let_go_leftovers(entry);
+  const auto released = std::find_if(releases_.begin(), releases_.end(),
+                                     [&](const auto& one) { return one.request == entry.id; });
+  if (released == releases_.end())
+    return;
+  if (const Node* other = other_to_ask(*released); other && make_place(*released))
+    ask_to_release(*released, *other);
+}
+
 // Danger: an attempt that was written on a connection into a network cut, or to a process that hangs, looks
 // like one that waits in its node's queue; but it has not arrived, and nothing takes the state. A release
 // does not touch a state that an attempt at a node waits for, so it is made whether or not this one has
@@ -67,6 +84,19 @@
   });
 }
 
+// An attempt that was written, and has been neither answered nor closed.
+bool Router::awaits_answer(const RequestState& entry) {
+  return entry.out && entry.out->call && !entry.out->started && !entry.out->unsent();
+}
+
+bool Router::prefills(const RequestState& entry) {
+  return !entry.holds && awaits_answer(entry);
+}
+
+bool Router::decodes(const RequestState& entry) {
+  return entry.holds && awaits_answer(entry);
+}
+
 void Router::let_go_untaken(RequestState& entry) {
   std::vector<StateHolder> holders = std::exchange(entry.leftovers, {});
   if (entry.holds)
@@ -89,6 +119,8 @@
     return false;
   if (entry->out && entry->out->started)
     return true;
+  if (prefills(*entry))
+    return released.arrived || clock_.now() < released.due - release_time() / 2;
   const bool told = entry->out && released.told_during == entry->out->number;
   const bool awaits_attempt = told || (entry->client && entry->holds);
   return awaits_attempt && entry->state_waits && clock_.now() < release_begins(*entry->state_waits);
@@ -128,7 +160,10 @@
   const Micros pause = streams ? stream_looked_at : release_again;
   released.since += pause;  // nothing is held in the meantime
   released.until += pause;
-  released.due = entry.state_waits.value_or(now) + release_time();
+  if (!prefills(entry))
+    released.due = entry.state_waits.value_or(now) + release_time();
+  else if (released.arrived)
+    released.due = now + release_time();
   end_release_by(released);
   try_release_at(released, now + pause);
 }
@@ -188,7 +223,7 @@
   ++released.asked[node.id];
   const std::uint64_t number = next_release_call_++;
   const RequestState* entry = find(released.request);
-  const bool during_attempt = entry && entry->out && !entry->out->unsent();
+  const bool during_attempt = entry && decodes(*entry);
   released.open.push_back({number, node.id, clock_.now(), during_attempt, nullptr});
   auto call =
       nodes_.release(node, released.id, [this, number](bool arrived) { release_answered(number, arrived); });
@@ -216,14 +251,15 @@
   try_release_at(released, clock_.now() + release_again);
 }
 
-// Danger: a release lets go of nothing that an attempt waits for, so one that came while an attempt was out
+// Danger: a release lets go of nothing that a decode waits for, so one that came while an attempt was out
 // says only that nothing has waited until then. What is left when that attempt ends, and its node may end it
 // without a word, has to be let go of anew.
 void Router::release_arrived(PendingRelease& released, const ReleaseCall& call) {
   note_answered(call.host);
   RequestState* entry = find(released.request);
-  if (entry && entry->out && !entry->out->unsent()) {
+  if (entry && decodes(*entry)) {
     entry->state_waits = call.at;
+    released.due = call.at + release_time();
     released.told_during = entry->out->number;
     return try_release_at(released, clock_.now() + release_again);
   }
--- a/tests/held/held_oracle.cpp
+++ b/tests/held/held_oracle.cpp
@@ -21,11 +21,6 @@
     request.since.erase(node);
 }
 
-bool HeldOracle::waited_for(const std::string& request) const {
-  const auto found = requests_.find(request);
-  return found != requests_.end() && found->second.out > 0;
-}
-
 bool HeldOracle::holds(const std::string& request) const {
   const auto found = requests_.find(request);
   return found != requests_.end() && !found->second.since.empty();
--- a/tests/held/held_oracle.h
+++ b/tests/held/held_oracle.h
@@ -28,8 +28,7 @@
   void node_ended(const std::string& node);  // and with it all that it held
   void router_ended(const std::string& request) {
     requests_.erase(request);
-  }                                                   // what it left is no more its own
-  bool waited_for(const std::string& request) const;  // an attempt that has arrived is out
+  }  // what it left is no more its own
   bool holds(const std::string& request) const;
   std::optional<Pinned> overdue(Micros now) const;
 
--- a/tests/held/world.h
+++ b/tests/held/world.h
@@ -91,6 +91,7 @@
   void stream(Sending& sending, int left);
   void grant(Host& host, const std::string& request);
   void free(const std::string& request);
+  bool decodes(const std::string& request) const;  // one has arrived and is out
   void end(Sending& sending, Result result);
   void let_go(Sending& sending);
   void answer(Sending& sending, Result result);
--- a/tests/held/world_nodes.cpp
+++ b/tests/held/world_nodes.cpp
@@ -92,7 +92,7 @@
     when_it_runs(sending, [this, &sending, outcome] {
       const bool ended_well =
           outcome == Outcome::read || (outcome == Outcome::reset && sending.draw.one_in(2));
-      if (ended_well)
+      if (ended_well && !sending.released)
         grant(sending.host, sending.asker.name);
       answer(sending, {outcome, 0, {}, {}});
     });
@@ -205,7 +205,15 @@
   oracle_.freed(request);
 }
 
-// Frees what no attempt that has arrived waits for. It counts once it has arrived, answered or not.
+bool World::decodes(const std::string& request) const {
+  return std::any_of(hosts_.begin(), hosts_.end(), [&](const auto& host) {
+    return host->role == Role::write &&
+           std::any_of(host->attempts.begin(), host->attempts.end(),
+                       [&](const Sending* one) { return one->arrived && one->asker.name == request; });
+  });
+}
+
+// Frees what no decode that has arrived waits for. It counts once it has arrived, answered or not.
 std::unique_ptr<Call> World::release(const Node& node, const std::string& id,
                                      std::function<void(bool)> done) {
   auto call = std::make_unique<Releasing>(*this);
@@ -231,7 +239,7 @@
     carry(
         host, [open] { return *open; },
         [this, &host, id, told] {
-          const bool waited_for = oracle_.waited_for(id);
+          const bool waited_for = decodes(id);
           ++(waited_for ? seen_.released_waiting : seen_.released);
           note("release of " + id + " arrives at " + host.name +
                (waited_for ? ", an attempt waits for it" : ""));
--- a/tests/held/world_parts.h
+++ b/tests/held/world_parts.h
@@ -26,6 +26,7 @@
   Attempt& attempt;
   property::Drawn draw;
   bool sent = false, arrived = false, over = false;
+  bool released = false;  // while it ran
   std::optional<Timers::Id> timer;
   std::shared_ptr<bool> open = std::make_shared<bool>(true);
 };
