--- a/src/fleet/rates.h
+++ b/src/fleet/rates.h
@@ -14,8 +14,11 @@
 // Work a microsecond, fading with the time since it came. True in the mean, however few samples there are.
 class FadingRate {
  public:
-  // More work, or, if negative, work that turned out not to count.
   void add(double work, Micros now, Micros fade) { assume(value(now, fade) + work / us(fade), now); }
+  // Work added at `since` that turned out not to count: what of it has not faded yet.
+  void take_back(double work, Micros since, Micros now, Micros fade) {
+    add(-work * std::exp(-us(now - since) / us(fade)), now, fade);
+  }
   // As another router has learned it.
   void assume(double rate, Micros now) { rate_.add(std::max(0.0, rate), now, 1); }
   double value(Micros now, Micros fade) const { return rate_.value * rate_.fresh(now, fade); }
--- a/src/module/attempts.h
+++ b/src/module/attempts.h
@@ -128,9 +128,9 @@
                       done.outcome == Outcome::connect_failed ||
                       (!a.started && done.outcome == Outcome::timeout);
   if (served || failed) note_outcome(s, node, failed);
-  // Danger: what full nodes turn away is sent again, so they look several times as able as they are (rule 4).
-  if (done.outcome == Outcome::full || done.outcome == Outcome::connect_failed)
-    node.work_rate.add(-job.prompt, s.now, s.fade);
+  // Danger: what a node fails or turns away is sent again, so it looks more able than it is (rule 4).
+  const bool unserved = failed || done.outcome == Outcome::full;
+  if (unserved) node.work_rate.take_back(job.prompt, a.sent, s.now, s.fade);
   if (served && a.prefill) {
     const double cached = std::min<double>(done.note, job.prompt);
     compare_cached(s, node, a, cached);
--- a/src/module/pool_norms.h
+++ b/src/module/pool_norms.h
@@ -19,11 +19,12 @@
     for (const auto& [id, node] : s.nodes) {
       if (!node.listed() || node.role != role) continue;
       p.nodes += 1;
-      p.ejected += failure_share(s, node) >= eject_at;
+      const bool set_aside = failure_share(s, node) >= eject_at;
+      p.ejected += set_aside;
       others.add(node.others.value, node.others.trust(s.now, s.fade));
       heard = std::max(heard, node.others.at);
       queued_root.add(std::sqrt(node.others_queued.value), node.others_queued.trust(s.now, s.fade));
-      if (!cold(s, node)) warm_work.add(node.work_rate.value(s.now, s.fade));
+      if (!set_aside && !cold(s, node)) warm_work.add(node.work_rate.value(s.now, s.fade));
     }
     const auto* usual = lookup(s.usual_rate, role);
     p.rate = usual ? usual->value() : s.any_rate.known ? s.any_rate.value : aim;
@@ -36,8 +37,7 @@
     if (warm_work.total > 0) p.warm_work = warm_work.value();
     // Danger: the last warm node drains while its successors are cold, which would get next to nothing. Its
     // load goes on to count, and of prefill nodes the rate learned from prefills.
-    if (warm_work.total <= 0 && role == Role::read && usual)
-      p.warm_work = 1 / std::max(0.1, usual->value()) / s.settings.siblings;
+    else if (role == Role::read && usual) p.warm_work = 1 / std::max(0.1, p.rate) / s.settings.siblings;
   }
   for (const Role role : {Role::read, Role::both}) {
     Mean waits;
