A node is told of the time that its client has left, also of a slow request

Cause: over HTTP/1.1 the head of an attempt was composed when the attempt began, and overstated its deadline by the time in which the connection came up. Req-Deadline, and the class's time, were counted from the last byte of a request on, so a client that wrote slowly, or waited in the listen queue or behind a busy loop, was taken to have more time than it had. On gRPC this held for the class's time and for bytes not looked at.

Change: the head is made when its connection is up (MakeHead); after its time nothing is written. Both fronts tell the core how long the request took to arrive (ClientRequest::arrival), counted from its first byte or frame, by what the kernel knows of the last bytes (TCP_INFO). A request whose time is over before it is whole is answered at once, with 504 or DEADLINE_EXCEEDED, and no node hears of it.

The gRPC test of a late request is stricter: it was answered after the core's next turn, now at once.

Ruled out: the time of a request whose bytes are merged into one read counts from the last of them, since the kernel tells no more.

--- a/src/core/router.h
+++ b/src/core/router.h
@@ -56,7 +56,7 @@
       NodeObserver* observer);  // hears what is seen of nodes; outlives this, or is taken back with null
 
   // ---- for fronts ----
-  enum class Taken { yes, unknown_kind, duplicate };
+  enum class Taken { yes, unknown_kind, duplicate, late };  // late: its time was over before it was whole
   // Takes a request; its one answer goes to `client`. Unless it says yes, nothing was taken.
   Taken take(const ClientRequest& client_request, Client& client, RequestId& id);
   void gone(RequestId id);     // the client has gone: it is told nothing more
--- a/src/core/router/requests.cpp
+++ b/src/core/router/requests.cpp
@@ -44,6 +44,13 @@
   // two under one name would be two attempts out at once.
   if (by_name_.count(client_request.prompt.id))
     return Taken::duplicate;
+  const Micros budget =
+      client_request.budget > Micros(0) ? client_request.budget : settings_.classes[cls].deadline;
+  if (budget <= client_request.arrival) {
+    logging::debug() << client_request.prompt.id << " came whole after its time was over";
+    ++counts_.of(client_request.kind)->errored;
+    return Taken::late;
+  }
   RequestState& entry = enter(client_request.prompt, client, client_request.kind);
   id = entry.id;
   entry.once = settings_.classes[cls].effect == Effect::unsafe;
@@ -56,8 +63,7 @@
   request.tenant = static_cast<std::uint16_t>(named(settings_.tenants, client_request.tenant));
   request.session = client_request.session;
   request.shared = client_request.shared;
-  request.budget =
-      client_request.budget > Micros(0) ? client_request.budget : settings_.classes[cls].deadline;
+  request.budget = budget - client_request.arrival;
   request.prompt = static_cast<float>(client_request.prompt_tokens);
   request.shared_prefix = static_cast<float>(client_request.shared_tokens);
   request.max_output = static_cast<float>(client_request.max_output);
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -51,7 +51,8 @@
   std::string kind;  // name of the class
   std::string tenant;
   Key session = 0, shared = 0;
-  Micros budget{};  // how long the client waits for the first event; 0 = as long as its class allows
+  Micros budget{};   // how long the client waits for the first event; 0 = as long as its class allows
+  Micros arrival{};  // of that time, what had passed when the last byte of the request came
   double prompt_tokens = 0, shared_tokens = 0, max_output = 0;
   bool repeat = false, resumed = false;
 };
--- a/src/grpc/front.cpp
+++ b/src/grpc/front.cpp
@@ -33,10 +33,10 @@
       const auto budget = parse_timeout(timeout_);
       if (!budget)
         return call_.finish(Status::invalid_argument, "grpc-timeout can't be read");
-      // Danger: a request that comes in pieces. Its client's time runs from its call on.
-      const auto passed = std::chrono::ceil<Micros>(std::chrono::steady_clock::now() - opened_);
-      client_request.budget = std::max(*budget - passed, Micros(1));
+      client_request.budget = std::max(*budget, Micros(1));
     }
+    // Danger: a request that comes in pieces. Its client's time runs from the first frame of its call on.
+    client_request.arrival = std::chrono::ceil<Micros>(Guard::Clock::now() - call_.opened());
     client_request.prompt = {request.id(), std::string(chat_path),
                              std::make_shared<std::string>(request.body())};
     client_request.kind = request.kind();
@@ -57,6 +57,8 @@
       case Router::Taken::duplicate:
         taken_ = false;
         return call_.finish(Status::already_exists, "a request with this id is open");
+      case Router::Taken::late:
+        return fail(Failure::timed_out);
     }
   }
   void drained() override { router_.drained(id_); }
@@ -95,7 +97,6 @@
   Router& router_;
   ServerCall& call_;
   std::string timeout_;
-  const std::chrono::steady_clock::time_point opened_ = std::chrono::steady_clock::now();
   RequestId id_ = 0;
   bool taken_ = false;
 };
--- a/src/grpc/server.h
+++ b/src/grpc/server.h
@@ -46,6 +46,7 @@
     return send(frame(std::string_view(message.SerializeAsString()), writes_));
   }
   void finish(Status status, std::string_view text, const Headers& more = {});  // the call is over; once
+  Guard::Clock::time_point opened() const { return session_.opened(id_); }
 
  private:
   friend class Server;
--- a/src/grpc/session.h
+++ b/src/grpc/session.h
@@ -89,8 +89,10 @@
   // Of a client's request: nothing of it was handed to the connection, and nothing is after a reset.
   bool unsent(std::int32_t id) const;
   std::size_t waiting(std::int32_t id) const;  // bytes written that have not left
-  void hold_back(std::int32_t id, bool on);    // lets the peer wait with its data
-  void check_alive();                          // closes the connection unless the peer answers a ping
+  // When the first frame of an open stream came.
+  Guard::Clock::time_point opened(std::int32_t id) const { return streams_.at(id).opened; }
+  void hold_back(std::int32_t id, bool on);  // lets the peer wait with its data
+  void check_alive();                        // closes the connection unless the peer answers a ping
   // Takes no more streams. A server says so in two steps (RFC 9113, 6.8): first that it will, then, once
   // calls that were under way have arrived, which was the last; so none of them is lost.
   void go_away();
--- a/src/grpc/session/in.cpp
+++ b/src/grpc/session/in.cpp
@@ -25,7 +25,7 @@
         c, [](nghttp2_session*, const nghttp2_frame* frame, void* self) {
           Session& s = session_of(self);
           if (s.server_ && frame->headers.cat == NGHTTP2_HCAT_REQUEST)
-            s.streams_[frame->hd.stream_id].opened = Guard::Clock::now();
+            s.streams_[frame->hd.stream_id].opened = Guard::Clock::now() - s.connection_->data_age();
           if (auto* stream = s.stream(frame->hd.stream_id))
             stream->incoming.clear();
           return 0;
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -10,31 +10,27 @@
         timer_(owner.loop_, [this] { on_timer(); }),
         connection_(owner.loop_, net::Endpoint(address), *this, owner.limits_.purpose) {}
 
-  void start(Exchange& exchange, Listener& listener, std::string_view head,
-             std::shared_ptr<const std::string> body) {
+  void start(Exchange& exchange, Listener& listener, MakeHead head, std::shared_ptr<const std::string> body) {
     exchange_ = &exchange;
     listener_ = &listener;
     exchange.connection_ = this;
-    has_head_ = written_ = false;
+    has_head_ = written_ = begun_ = false;
+    make_head_ = std::move(head);
+    request_body_ = std::move(body);
     if (!connected_)
-      timer_.start(connection_.started() ? owner_.limits_.connect_timeout : microseconds(0));
-    else
-      timer_.stop();
-    if (!connection_.started())
-      return;
-    connection_.write(head);
-    if (body)
-      connection_.write(std::move(body));
+      return timer_.start(connection_.started() ? owner_.limits_.connect_timeout : microseconds(0));
+    timer_.stop();
+    write_request();
     // Danger: whatever comes between the look at a connection that rested and the first byte on it is taken
     // for the answer. So that byte doesn't wait for the loop.
-    if (connected_)
-      connection_.push();
+    connection_.push();
   }
   PooledConnection(Client& owner, const std::string& address, const PassedConnection& adopted)
       : owner_(owner),
         address_(address),
         timer_(owner.loop_, [this] { on_timer(); }),
         connected_(true),
+        begun_(true),
         has_head_(true),
         closes_(adopted.closes),
         written_(true),
@@ -63,7 +59,7 @@
   }
   void hold_back(bool on) { connection_.read(!on); }
   void ends_soon() { timer_.start(owner_.limits_.head); }
-  bool unsent() const { return !connected_; }
+  bool unsent() const { return !begun_; }
   const std::string& address() const { return address_; }
   bool silent() const { return connection_.silent(); }
 
@@ -71,10 +67,24 @@
   void on_connected() override {
     connected_ = true;
     timer_.stop();
+    if (exchange_)
+      write_request();
   }
-  // Once an exchange: all of it was handed to the connection at its start.
+  // Danger: a head that is made before its connection is up tells the node of time that its client no longer
+  // has.
+  void write_request() {
+    const auto head = std::exchange(make_head_, nullptr)();
+    const auto body = std::exchange(request_body_, nullptr);
+    if (!head)
+      return;
+    begun_ = true;
+    connection_.write(*head);
+    if (body)
+      connection_.write(body);
+  }
+  // Once an exchange: all of it was handed to the connection as it began.
   void on_drained() override {
-    if (exchange_ && !std::exchange(written_, true))
+    if (exchange_ && begun_ && !std::exchange(written_, true))
       listener_->written();
   }
   // Connecting took too long, or the head of an answer, or it was idle long enough.
@@ -137,7 +147,7 @@
       return end(Ending::whole);
     // Bytes that never left prove that the node has not run the request; but not against an answer that has
     // begun.
-    end(!connected_ || (connection_.unsent() > 0 && !has_head_) ? Ending::not_sent : Ending::broken);
+    end(!begun_ || (connection_.unsent() > 0 && !has_head_) ? Ending::not_sent : Ending::broken);
   }
 
   // The answer is whole; the connection can serve again if both sides are through with this exchange.
@@ -175,7 +185,9 @@
   net::Timer timer_;
   Exchange* exchange_ = nullptr;
   Listener* listener_ = nullptr;
-  bool connected_ = false, has_head_ = false, closes_ = false, written_ = false;
+  MakeHead make_head_;  // until the request is written, as what follows it
+  std::shared_ptr<const std::string> request_body_;
+  bool connected_ = false, begun_ = false, has_head_ = false, closes_ = false, written_ = false;
   std::size_t scanned_ = 0;
   Body body_;
   net::Connection connection_;
@@ -209,7 +221,13 @@
 Client::Client(net::Loop& loop, ClientLimits limits) : loop_(loop), limits_(limits), idle_(limits.rest) {}
 Client::~Client() = default;
 
-std::unique_ptr<Exchange> Client::start(const std::string& address, std::string_view head,
+std::unique_ptr<Exchange> Client::start(const std::string& address, std::string head,
+                                        std::shared_ptr<const std::string> body, Listener& listener) {
+  return start(
+      address, [head = std::move(head)] { return head; }, std::move(body), listener);
+}
+
+std::unique_ptr<Exchange> Client::start(const std::string& address, MakeHead head,
                                         std::shared_ptr<const std::string> body, Listener& listener) {
   PooledConnection* connection = take_idle(address);
   if (!connection) {
@@ -218,7 +236,7 @@
     all_[connection] = std::move(made);
   }
   auto exchange = std::make_unique<Exchange>();
-  connection->start(*exchange, listener, head, std::move(body));
+  connection->start(*exchange, listener, std::move(head), std::move(body));
   return exchange;
 }
 
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -1,8 +1,10 @@
 // An HTTP/1.1 client with a pool of idle connections. Nothing is ever sent a second time here.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -33,6 +35,10 @@
   virtual void ended(Ending how) = 0;
 };
 
+// Makes the head of a request in the moment in which it is written, when its connection is up. Nothing: the
+// request is not written any more, and whoever began it lets go of it.
+using MakeHead = std::function<std::optional<std::string>()>;
+
 struct ClientLimits {
   microseconds connect_timeout{std::chrono::milliseconds(250)};
   microseconds idle{std::chrono::seconds(8)};  // idle connections are retired after it
@@ -53,7 +59,7 @@
   ~Exchange();
   void hold_back(bool on);  // stops or goes on reading the answer
   void ends_soon();  // its answer is no stream: it is malformed if it does not end as soon as a head has to
-  bool unsent() const;  // its connection has not come up
+  bool unsent() const;  // nothing of it was written
   std::optional<PassedConnection> passable()
       const;      // between two chunks of an answer, with nothing read ahead
   void passed();  // its connection is another process's now
@@ -71,7 +77,9 @@
   Client(const Client&) = delete;
   Client& operator=(const Client&) = delete;
 
-  std::unique_ptr<Exchange> start(const std::string& address, std::string_view head,
+  std::unique_ptr<Exchange> start(const std::string& address, MakeHead head,
+                                  std::shared_ptr<const std::string> body, Listener& listener);
+  std::unique_ptr<Exchange> start(const std::string& address, std::string head,
                                   std::shared_ptr<const std::string> body, Listener& listener);
   // An exchange that another process began; its answer goes on after a chunk.
   std::unique_ptr<Exchange> adopt(const std::string& address, const PassedConnection& connection,
--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -49,6 +49,19 @@
 // ---- what comes in ----
 
 void ClientConnection::on_readable() {
+  note_arrival();
+  take_input();
+  left_input_ = evbuffer_get_length(connection_.input());
+}
+
+// A client's time runs from when it sent its request, which may have waited in the kernel and here since.
+void ClientConnection::note_arrival() {
+  const std::size_t size = evbuffer_get_length(connection_.input());
+  if (size > left_input_)
+    arrivals_.came(left_input_, size - left_input_, Arrivals::Clock::now() - connection_.data_age());
+}
+
+void ClientConnection::take_input() {
   if (state_ == State::head)
     read_head();
   if (state_ == State::body)
@@ -87,7 +100,10 @@
 // all of it, so the time of the first request runs from connecting on and is never started anew.
 void ClientConnection::begin_request() {
   whole_ = false;
-  if (std::exchange(in_request_, true) || !asked_)
+  if (std::exchange(in_request_, true))
+    return;
+  began_ = arrivals_.first_of(evbuffer_get_length(connection_.input()));
+  if (!asked_)
     return;
   timer_.start(front_.options_.asking);
   front_.admission_.busy(*this);
@@ -125,9 +141,12 @@
   if (client_request_.prompt_tokens == 0)
     client_request_.prompt_tokens =
         static_cast<double>(client_request_.prompt.body->size()) / characters_a_token;
+  client_request_.arrival = std::chrono::ceil<Micros>(Arrivals::Clock::now() - began_);
   state_ = State::waiting;
   const auto taken = front_.router_.take(client_request_, *this, id_);
-  if (taken != Router::Taken::yes)
+  if (taken == Router::Taken::late)
+    answer(504);
+  else if (taken != Router::Taken::yes)
     answer(400);
 }
 
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -7,6 +7,7 @@
 #include <string_view>
 
 #include "core/router.h"
+#include "http/arrivals.h"
 #include "http/message.h"
 #include "net/admission.h"
 #include "net/connection.h"
@@ -40,6 +41,8 @@
   void on_drained() override;
   void on_closed() override;
   void on_timer();
+  void note_arrival();
+  void take_input();
   void read_head();
   void begin_request();
   void read_body();
@@ -76,6 +79,9 @@
   Body body_;
   std::shared_ptr<std::string> text_;
   std::size_t body_size_ = 0;  // what it holds of Front::bodies_
+  Arrivals arrivals_;
+  std::size_t left_input_ = 0;  // in input() when it was looked at last
+  Arrivals::Time began_{};      // when the first byte of the open request came
   net::Timer timer_;
   net::Connection connection_;
 };
--- a/src/http/node_client.cpp
+++ b/src/http/node_client.cpp
@@ -10,6 +10,8 @@
 namespace lemonroute::http {
 namespace {
 
+using SteadyClock = std::chrono::steady_clock;
+
 constexpr std::size_t most_answer = 4096;  // of an answer that is no stream
 
 std::string seconds_text(Micros span) {
@@ -46,17 +48,29 @@
   return how == Ending::whole && status < 500;
 }
 
+// The head of an attempt, which states what is left of `within` when it is written.
+MakeHead head_of(const Node& node, const Prompt& prompt, Micros within) {
+  std::ostringstream before, behind;
+  before << "POST " << prompt.target << " HTTP/1.1\r\nHost: " << node.address << "\r\nReq-Id: " << prompt.id
+         << "\r\nReq-Deadline: ";
+  behind << "\r\n"
+         << prompt.fields << "Content-Type: application/json\r\nContent-Length: " << prompt.body->size()
+         << "\r\n\r\n";
+  const auto deadline = SteadyClock::now() + within;
+  return [before = before.str(), behind = behind.str(), deadline]() -> std::optional<std::string> {
+    const auto left = std::chrono::floor<std::chrono::milliseconds>(deadline - SteadyClock::now());
+    if (left <= std::chrono::milliseconds(0))
+      return std::nullopt;  // the core takes back what is late
+    return before + seconds_text(left) + behind;
+  };
+}
+
 class AttemptCall : public Call, Listener {
  public:
   AttemptCall(Client& client, const Node& node, const Prompt& prompt, Micros within, Attempt& attempt)
       : attempt_(attempt) {
     set_up();
-    std::ostringstream head;
-    head << "POST " << prompt.target << " HTTP/1.1\r\nHost: " << node.address << "\r\nReq-Id: " << prompt.id
-         << "\r\nReq-Deadline: " << seconds_text(within) << "\r\n"
-         << prompt.fields << "Content-Type: application/json\r\nContent-Length: " << prompt.body->size()
-         << "\r\n\r\n";
-    exchange_ = client.start(node.address, head.str(), prompt.body, *this);
+    exchange_ = client.start(node.address, head_of(node, prompt, within), prompt.body, *this);
   }
   // Goes on with a stream that another process began, after one of its events.
   AttemptCall(Client& client, const Node& node, const PassedConnection& connection, Attempt& attempt)
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -126,6 +126,13 @@
   const auto got = recv(bufferevent_getfd(bev_.get()), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
   return got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
 }
+std::chrono::milliseconds Connection::data_age() const {
+  tcp_info info{};
+  socklen_t size = sizeof info;
+  if (getsockopt(bufferevent_getfd(bev_.get()), IPPROTO_TCP, TCP_INFO, &info, &size) != 0)
+    return {};
+  return std::chrono::milliseconds(info.tcpi_last_data_recv);
+}
 bool Connection::unacknowledged() const {
   tcp_info info{};
   socklen_t size = sizeof info;
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -53,6 +53,8 @@
   bool at_rest() const {  // nothing that has come or is to go is held here
     return unsent() == 0 && evbuffer_get_length(bufferevent_get_input(bev_.get())) == 0;
   }
+  // How long the last bytes that came have been with the kernel or here; 0 where nothing tells.
+  std::chrono::milliseconds data_age() const;
   bool unacknowledged() const;  // the peer's kernel has not had all that was written, and may still have it
   std::size_t unsent() const { return evbuffer_get_length(bufferevent_get_output(bev_.get())); }
 
--- a/tests/crossings/grpc/front_test.cpp
+++ b/tests/crossings/grpc/front_test.cpp
@@ -182,16 +182,32 @@
   peer->send(frame(DATA, END_STREAM, 1, call_message("q")));
   ASSERT_TRUE(begun(1));
   EXPECT_LE(nodes.given.back(), budget - arrives);
-  // One whose time is over as it comes is answered as late.
+  // One whose time is over as it comes is answered there and then, and no node hears of it.
   peer->send(call_head(*peer, 3, {{"grpc-timeout", "5m"}}));
   peer->settle();
   pass(arrives);
   peer->send(frame(DATA, END_STREAM, 3, call_message("p")));
-  peer->settle();
-  clock.at += milliseconds(1);
-  core.run_due();
   ASSERT_TRUE(peer->until([&] { return peer->over(3); }));
   EXPECT_EQ(peer->field(3, "grpc-status"), "4");
+  EXPECT_EQ(nodes.given.size(), 1u);
+  // Without a time of its own it has its class's, which runs from there as well.
+  peer->send(call_head(*peer, 5));
+  peer->settle();
+  pass(arrives);
+  peer->send(frame(DATA, END_STREAM, 5, call_message("r")));
+  ASSERT_TRUE(begun(2));
+  EXPECT_LE(nodes.given.back(), test::settings().classes[0].deadline - arrives);
+}
+
+// Its first frame waits in the kernel while the loop is busy elsewhere.
+TEST_F(GrpcFrontCrossings, TheTimeThatARequestIsNotLookedAtIsTheClients) {
+  ASSERT_TRUE(hello(*peer));
+  constexpr milliseconds budget{500}, waits{80}, kernels_count{10};
+  peer->settle();
+  peer->send(call_head(*peer, 1, {{"grpc-timeout", "500m"}}) + frame(DATA, END_STREAM, 1, call_message("q")));
+  pass(waits);
+  ASSERT_TRUE(begun(1));
+  EXPECT_LE(nodes.given.back(), budget - waits + kernels_count);
 }
 
 // The last byte of an answer × a cancel that has come and is not read yet; and the streams behind it.
--- a/tests/net/core_bed.h
+++ b/tests/net/core_bed.h
@@ -27,14 +27,15 @@
     HostId host;
     Attempt* attempt;
     bool open;
+    Micros within{};
   };
   std::vector<Begun> begun;
   bool many = false;  // several requests under way
   std::vector<std::pair<HostId, std::function<void(bool)>>> released;
-  std::unique_ptr<Call> begin(const Node& node, const Prompt&, Micros, Attempt& attempt) override {
+  std::unique_ptr<Call> begin(const Node& node, const Prompt&, Micros within, Attempt& attempt) override {
     for (const auto& one : begun)
       assert(many || !one.open);  // never two attempts out at once
-    begun.push_back({node.id, &attempt, true});
+    begun.push_back({node.id, &attempt, true, within});
     return std::make_unique<NoteCall>([this, i = begun.size() - 1] { begun[i].open = false; });
   }
   std::unique_ptr<Call> release(const Node& node, const std::string&,
