No request that was read goes unanswered, nothing is written for a client that hung up

Cause, lost requests: what was read behind a request was dropped with an answer that said `close` (drain, crowded front); a flood behind an open request ended that request; a connection whose time at rest was over, or whose place was needed, was ended over a request in the kernel; with all places taken at the end of the drain's window the rest of the listen queue was reset; a gRPC client whose place was needed lost an answer that it had not taken. Cause, attempts for nobody: a client's end behind bytes that are read by 16 KiB a round, or in a busy round, was seen after its next attempt was written.

Change: `close` is not said while something is read behind; a flood behind an open request is read slowly and its client's socket is looked at every 50 ms; a connection with bytes to be read is not at rest; who finds no place at the end of the window has a 503; a gRPC client hears GOAWAY first.

Not kept, and listed: a gRPC cancel that is in the kernel as an attempt is written in the same round; open calls of a gRPC connection that turns to noise. Ruled out: EV_CLOSED beside a read that is off, since libevent tells a reset as readable and the loop would spin on it.

--- a/src/core/types.h
+++ b/src/core/types.h
@@ -43,6 +43,9 @@
   std::string target;  // where the client asked for it
   std::shared_ptr<const std::string> body;
   std::string fields = {};  // further header fields for the node, each "Name: value\r\n"
+  // Asked in the moment in which an attempt is written: false if its client has gone and nobody has seen it
+  // yet. Nothing is written then, and the front tells of it soon.
+  std::function<bool()> wanted = {};
 };
 
 // A client's request.
--- a/src/grpc/front.cpp
+++ b/src/grpc/front.cpp
@@ -39,6 +39,9 @@
     client_request.arrival = std::chrono::ceil<Micros>(Guard::Clock::now() - call_.opened());
     client_request.prompt = {request.id(), std::string(chat_path),
                              std::make_shared<std::string>(request.body())};
+    client_request.prompt.wanted = [there = std::weak_ptr(there_), &call = call_] {
+      return !there.expired() && !call.hung_up();
+    };
     client_request.kind = request.kind();
     client_request.tenant = request.tenant();
     client_request.session = key_of(request.session());
@@ -97,6 +100,7 @@
   Router& router_;
   ServerCall& call_;
   std::string timeout_;
+  const std::shared_ptr<int> there_ = std::make_shared<int>();  // until its client has gone
   RequestId id_ = 0;
   bool taken_ = false;
 };
--- a/src/grpc/node_client/calls.cpp
+++ b/src/grpc/node_client/calls.cpp
@@ -14,7 +14,8 @@
 class NodeCall : public Call, StreamEvents {
  public:
   NodeCall(Session& session, std::string_view authority, std::string_view method, std::string framed,
-           Headers more, CallOver over, std::optional<Guard::Clock::time_point> deadline = {})
+           Headers more, CallOver over, std::optional<Guard::Clock::time_point> deadline = {},
+           std::function<bool()> wanted = {})
       : session_(&session), over_(std::move(over)) {
     Headers headers{{":method", "POST"},
                     {":scheme", "http"},
@@ -24,7 +25,7 @@
                     {"te", "trailers"},
                     {"grpc-accept-encoding", std::string(accepted_encodings)}};
     headers.insert(headers.end(), more.begin(), more.end());
-    id_ = session.request(headers, std::move(framed), *this, deadline);
+    id_ = session.request(headers, std::move(framed), *this, deadline, std::move(wanted));
   }
   ~NodeCall() override {
     leave();
@@ -114,7 +115,7 @@
   RunCall(Session& session, const Node& node, const Prompt& prompt, Micros within, Attempt& attempt,
           CallOver over)
       : NodeCall(session, node.address, "Run", frame(request(prompt)), {{"req-id", prompt.id}},
-                 std::move(over), Guard::Clock::now() + within),
+                 std::move(over), Guard::Clock::now() + within, prompt.wanted),
         attempt_(attempt) {}
 
  private:
@@ -145,29 +146,29 @@
     result_.load = end.load;
     result_.detail = "status " + std::to_string(end.status);
     const auto status = static_cast<Status>(end.status);
-    if (end.how == Ending::not_sent)
-      result_.outcome = Outcome::connect_failed;
-    else if (end.how == Ending::broken)
-      result_.outcome = Outcome::reset;
-    else if (end.how == Ending::malformed)
-      result_.outcome = events_ ? Outcome::reset : Outcome::error;
-    else if (status == Status::ok && read_)
-      result_.outcome = Outcome::read;
-    else if (status == Status::ok && events_)
-      result_.outcome = Outcome::ok;
-    else if (events_)
-      result_.outcome = Outcome::reset;
-    else if (end.declined && status == Status::unavailable)
-      result_.outcome = Outcome::full;
-    else if (end.declined && status == Status::failed_precondition) {
-      result_.outcome = Outcome::full;
+    result_.outcome = outcome_of(end, status);
+    if (result_.outcome == Outcome::full && status == Status::failed_precondition)
       result_.kept = 1;
-    } else {
-      result_.outcome = Outcome::error;
-      result_.unfit = status == Status::invalid_argument;
-    }
+    result_.unfit = result_.outcome == Outcome::error && end.how != Ending::malformed &&
+                    status == Status::invalid_argument;
     attempt_.done(result_);
   }
+  Outcome outcome_of(const End& end, Status status) const {
+    if (end.how == Ending::not_sent)
+      return Outcome::connect_failed;
+    if (end.how == Ending::broken)
+      return Outcome::reset;
+    if (end.how == Ending::malformed)
+      return events_ ? Outcome::reset : Outcome::error;
+    if (status == Status::ok && read_)
+      return Outcome::read;
+    if (status == Status::ok && events_)
+      return Outcome::ok;
+    if (events_)
+      return Outcome::reset;
+    const bool full = status == Status::unavailable || status == Status::failed_precondition;
+    return end.declined && full ? Outcome::full : Outcome::error;
+  }
 
   Attempt& attempt_;
   Result result_;
--- a/src/grpc/server.h
+++ b/src/grpc/server.h
@@ -47,6 +47,7 @@
   }
   void finish(Status status, std::string_view text, const Headers& more = {});  // the call is over; once
   Guard::Clock::time_point opened() const { return session_.opened(id_); }
+  bool hung_up() const { return session_.hung_up(); }  // its connection, though nobody may have seen it yet
 
  private:
   friend class Server;
@@ -87,9 +88,12 @@
 
   // A connection and how many of its calls are open.
   struct Visit : net::Admission::Peer {
-    void dismiss() override { session->close(); }
+    explicit Visit(net::Admission& of) : admission(of) {}
+    void dismiss() override;
+    net::Admission& admission;
     std::unique_ptr<Session> session;
     std::size_t calls = 0;
+    bool leaves = false;
   };
 
   net::Loop& loop_;
--- a/src/grpc/session.h
+++ b/src/grpc/session.h
@@ -75,13 +75,15 @@
 
   bool usable() const { return !closed_ && !going_; }  // for a new request
   bool quiet() const { return streams_.empty(); }
+  bool hung_up() const { return connection_->hung_up(); }
 
   // A client's request, under the stream id that is returned (negative: none is left). It waits here until
   // the connection is up, what was written before has left, and the peer allows one more stream; until then
   // nothing of it is sent. What is left until `deadline` is told to the peer as grpc-timeout when the request
-  // is written; after `deadline` it is not written any more.
+  // is written; after `deadline`, or once it is not `wanted`, it is not written any more.
   std::int32_t request(const Headers& headers, std::string body, StreamEvents& events,
-                       std::optional<Guard::Clock::time_point> deadline = {});
+                       std::optional<Guard::Clock::time_point> deadline = {},
+                       std::function<bool()> wanted = {});
   void respond(std::int32_t id, const Headers& headers);  // server
   void write(std::int32_t id, std::string bytes);
   void finish(std::int32_t id, Headers trailers);  // after what was written; trailers without headers if none
@@ -116,6 +118,7 @@
     std::int32_t id;
     Headers headers;
     std::optional<Guard::Clock::time_point> deadline;
+    std::function<bool()> wanted;
   };
   struct Free {
     void operator()(nghttp2_session* session) const { nghttp2_session_del(session); }
--- a/src/grpc/session/waiting.cpp
+++ b/src/grpc/session/waiting.cpp
@@ -13,7 +13,8 @@
 }  // namespace
 
 std::int32_t Session::request(const Headers& headers, std::string body, StreamEvents& events,
-                              std::optional<Guard::Clock::time_point> deadline) {
+                              std::optional<Guard::Clock::time_point> deadline,
+                              std::function<bool()> wanted) {
   if (next_id_ > last_id)
     return -1;
   const auto id = static_cast<std::int32_t>(next_id_);
@@ -23,7 +24,7 @@
   stream.responded = stream.ended = true;
   stream.out_size = body.size();
   stream.out.push_back(std::move(body));
-  waiting_.push_back({id, headers, deadline});
+  waiting_.push_back({id, headers, deadline, std::move(wanted)});
   flush_soon();
   if (next_id_ > last_id)
     owner_.going(*this);
@@ -40,8 +41,9 @@
   const auto now = Guard::Clock::now();
   auto next = waiting_.begin();
   while (next != waiting_.end() && streams_.size() - waiting_.size() < most) {
-    // Whoever waits for one that is late takes it back; it has no use for the place.
-    if (next->deadline && *next->deadline <= now) {
+    // Whoever waits for one that is late, or whose client has gone, takes it back; it has no use for the
+    // place.
+    if ((next->deadline && *next->deadline <= now) || (next->wanted && !next->wanted())) {
       ++next;
       continue;
     }
--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -20,7 +20,11 @@
 }  // namespace
 
 ClientConnection::ClientConnection(Front& front, evutil_socket_t fd)
-    : front_(front), timer_(front.loop_, [this] { on_timer(); }), connection_(front.loop_, fd, *this) {
+    : front_(front),
+      self_(std::make_shared<ClientConnection*>(this)),
+      timer_(front.loop_, [this] { on_timer(); }),
+      read_on_(front.loop_, [this] { read_on(); }),
+      connection_(front.loop_, fd, *this) {
   connection_.limit_input(most_input);
   timer_.start(front_.options_.asking);
 }
@@ -135,9 +139,13 @@
     return answer(status_);
   // Who had gone before its request was read, in the listener's queue or while this process did not run,
   // wants nothing.
-  if (connection_.ended())
+  if (connection_.hung_up())
     return close();
   client_request_.prompt.body = std::move(text_);
+  client_request_.prompt.wanted = [self = std::weak_ptr(self_)] {
+    const auto connection = self.lock();
+    return connection && (*connection)->wanted();
+  };
   if (client_request_.prompt_tokens == 0)
     client_request_.prompt_tokens =
         static_cast<double>(client_request_.prompt.body->size()) / characters_a_token;
@@ -166,6 +174,9 @@
     close();
 }
 void ClientConnection::on_timer() {
+  // Danger: a request that has come and was not looked at yet, of a client whose time between two is over.
+  if (state_ == State::head && !in_request_ && asks())
+    return timer_.start(front_.options_.asking);
   if (state_ == State::streaming || state_ == State::ending)
     front_.loop_.tally().note(net::Overdone::takes_nothing, client_request_.prompt.id);
   if (state_ == State::head && !asked_ && !in_request_)
@@ -233,9 +244,10 @@
 }
 
 // Guards against clients that ask once and stay: by the time their places are needed there may be hundreds
-// of them, all too fresh at rest to be closed.
+// of them, all too fresh at rest to be closed. Danger: what was read behind the request would be lost.
 bool ClientConnection::ends_connection() const {
-  return front_.draining_ || !keep_ || front_.admission_.crowded();
+  const bool asked_again = evbuffer_get_length(connection_.input()) > 0;
+  return !keep_ || (!asked_again && (front_.draining_ || front_.admission_.crowded()));
 }
 
 void ClientConnection::answer(int status, std::string_view field) {
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -56,6 +56,7 @@
   std::optional<PassedConnection> passable() override;
   void passed() override;
   bool ends_connection() const;
+  bool asks() const { return !connection_.silent() && !connection_.ended(); }  // there are bytes to be read
   void answer(int status, std::string_view field = {});
   void answer_and_close(int status);
   void complete(bool closes);
@@ -65,6 +66,8 @@
   void drop_input();
   void read_ahead();
   void overdone();
+  void read_on();
+  bool wanted();
   void forget_body();
 
   Front& front_;
@@ -72,7 +75,8 @@
   RequestId id_ = 0;
   ClientRequest client_request_;
   int status_ = 0;
-  bool keep_ = true, closes_ = false, in_request_ = false, asked_ = false, whole_ = false, held_back_ = false;
+  bool keep_ = true, closes_ = false, goes_ = false, in_request_ = false, asked_ = false, whole_ = false,
+       held_back_ = false, slowed_ = false;
   std::size_t dropped_ = 0;  // bytes read and never looked at
   Micros left_for_{};        // since our end was told
   std::size_t scanned_ = 0;
@@ -80,9 +84,10 @@
   std::shared_ptr<std::string> text_;
   std::size_t body_size_ = 0;  // what it holds of Front::bodies_
   Arrivals arrivals_;
-  std::size_t left_input_ = 0;  // in input() when it was looked at last
-  Arrivals::Time began_{};      // when the first byte of the open request came
-  net::Timer timer_;
+  std::size_t left_input_ = 0;               // in input() when it was looked at last
+  Arrivals::Time began_{};                   // when the first byte of the open request came
+  std::shared_ptr<ClientConnection*> self_;  // outlived by weak references of what asks for its client
+  net::Timer timer_, read_on_;
   net::Connection connection_;
 };
 
--- a/src/http/client_ending.cpp
+++ b/src/http/client_ending.cpp
@@ -10,17 +10,18 @@
 // answered.
 constexpr Micros linger_for = std::chrono::seconds(1);
 constexpr std::size_t most_dropped = 1024 * 1024;
+constexpr Micros flood_pause = std::chrono::milliseconds(50);  // between two pieces of a flood
 
 }  // namespace
 
 // Who has begun a request hears that it was not taken, instead of an end without a word.
 void ClientConnection::dismiss() {
+  if (state_ == State::lingering)
+    connection_.drop_unread();
   if (leaving())
     return close();
   front_.loop_.tally().note(net::Overdone::dismissed);
-  const bool asked_again =
-      evbuffer_get_length(connection_.input()) > 0;  // behind an answer that has just ended
-  if (!in_request_ && !asked_again)
+  if (!in_request_ && !asks())
     return half_close();
   keep_ = whole_ = false;
   answer(503, "Retry-After: 0.1\r\n");
@@ -107,18 +108,36 @@
   drop_input();
 }
 
-// Guards the loop against a sender that never stops: each byte read costs the others' time. A request that
-// waits gets its answer, a stream is cut.
+// Guards the loop against a sender that never stops: each byte read costs the others' time. Behind an open
+// request, which gets its answer, it is read slowly.
 void ClientConnection::overdone() {
-  front_.loop_.tally().note(net::Overdone::flood, client_request_.prompt.id);
-  const State was = state_;
-  if (was != State::waiting && was != State::streaming)
+  if (!std::exchange(slowed_, true))
+    front_.loop_.tally().note(net::Overdone::flood, client_request_.prompt.id);
+  if (state_ != State::waiting && state_ != State::streaming)
+    return close();
+  connection_.read(false);
+  read_on_.start(flood_pause);
+}
+
+void ClientConnection::read_on() {
+  if (state_ != State::waiting && state_ != State::streaming)
+    return;
+  if (connection_.hung_up())
     return close();
-  front_.router_.gone(id_);
-  if (was == State::waiting)
-    answer(400);
-  else
-    begin_ending(linger_for);
+  connection_.read(true);
+}
+
+// Danger: an attempt that begins for a client which has gone, while its end lies behind bytes that are not
+// read yet, or the loop was busy. So its socket is looked at; the core, which asks, is told later.
+bool ClientConnection::wanted() {
+  if (!connection_.hung_up())
+    return true;
+  if (!std::exchange(goes_, true))
+    front_.loop_.defer([self = std::weak_ptr(self_)] {
+      if (const auto connection = self.lock())
+        (*connection)->on_closed();
+    });
+  return false;
 }
 
 void ClientConnection::forget_body() {
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -29,6 +29,8 @@
   ClientConnection& made = *connection;
   connections_[&made] = std::move(connection);
   admission_.arrived(made);
+  if (refuses_)
+    made.dismiss();
 }
 
 void Front::adopt(const PassedStream& stream) {
@@ -73,11 +75,14 @@
 }
 
 // Danger: who waits in a listener's queue has a connection, and may have sent its request; gone with the
-// listener it is reset. Those that rest make room first.
+// listener it is reset. Those that rest make room first; who finds none hears that it was not taken.
 void Front::stop_accepting() {
   close_if(&ClientConnection::between_requests);
   for (const auto& listener : listeners_)
     listener->take_waiting(admission_.free());
+  refuses_ = true;
+  for (const auto& listener : listeners_)
+    listener->take_waiting();
   listeners_.clear();
 }
 
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -47,7 +47,7 @@
   net::Loop& loop_;
   Router& router_;
   Options options_;
-  bool draining_ = false;
+  bool draining_ = false, refuses_ = false;
   std::size_t bodies_ = 0;  // bytes of requests that are coming or at work
   net::Admission admission_;
   std::map<ClientConnection*, std::unique_ptr<ClientConnection>> connections_;
--- a/src/http/node_client.cpp
+++ b/src/http/node_client.cpp
@@ -57,10 +57,11 @@
          << prompt.fields << "Content-Type: application/json\r\nContent-Length: " << prompt.body->size()
          << "\r\n\r\n";
   const auto deadline = SteadyClock::now() + within;
-  return [before = before.str(), behind = behind.str(), deadline]() -> std::optional<std::string> {
+  return [before = before.str(), behind = behind.str(), deadline,
+          wanted = prompt.wanted]() -> std::optional<std::string> {
     const auto left = std::chrono::floor<std::chrono::milliseconds>(deadline - SteadyClock::now());
-    if (left <= std::chrono::milliseconds(0))
-      return std::nullopt;  // the core takes back what is late
+    if (left <= std::chrono::milliseconds(0) || (wanted && !wanted()))
+      return std::nullopt;  // the core takes it back
     return before + seconds_text(left) + behind;
   };
 }
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -26,6 +26,15 @@
   setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
 }
 
+// Of a socket that the kernel does not tell of: closed, and nothing came.
+tcp_info info_of(evutil_socket_t fd) {
+  tcp_info info{};
+  socklen_t size = sizeof info;
+  if (getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) != 0)
+    info.tcpi_state = TCP_CLOSE;
+  return info;
+}
+
 }  // namespace
 
 Endpoint::Endpoint(const std::string& text) {
@@ -126,18 +135,14 @@
   const auto got = recv(bufferevent_getfd(bev_.get()), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
   return got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
 }
+bool Connection::hung_up() const {
+  return info_of(descriptor()).tcpi_state != TCP_ESTABLISHED;
+}
 std::chrono::milliseconds Connection::data_age() const {
-  tcp_info info{};
-  socklen_t size = sizeof info;
-  if (getsockopt(bufferevent_getfd(bev_.get()), IPPROTO_TCP, TCP_INFO, &info, &size) != 0)
-    return {};
-  return std::chrono::milliseconds(info.tcpi_last_data_recv);
+  return std::chrono::milliseconds(info_of(descriptor()).tcpi_last_data_recv);
 }
 bool Connection::unacknowledged() const {
-  tcp_info info{};
-  socklen_t size = sizeof info;
-  const bool open = getsockopt(bufferevent_getfd(bev_.get()), IPPROTO_TCP, TCP_INFO, &info, &size) == 0 &&
-                    info.tcpi_state != TCP_CLOSE;
+  const bool open = info_of(descriptor()).tcpi_state != TCP_CLOSE;
   int bytes = 0;
   return open && ioctl(bufferevent_getfd(bev_.get()), SIOCOUTQ, &bytes) == 0 && bytes > 0;
 }
@@ -155,6 +160,12 @@
       this));
   event_add(end_.get(), nullptr);
 }
+void Connection::drop_unread() {
+  constexpr int most_pieces = 64;
+  char piece[16 * 1024];
+  for (int n = 0; n < most_pieces && recv(descriptor(), piece, sizeof piece, MSG_DONTWAIT) > 0; ++n) {
+  }
+}
 void Connection::push() {
   evbuffer* output = bufferevent_get_output(bev_.get());
   if (evbuffer_get_length(output) == 0)
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -46,9 +46,10 @@
   Connection& operator=(const Connection&) = delete;
 
   bool started() const { return started_; }  // false: not even a socket could be had
-  evbuffer* input() { return bufferevent_get_input(bev_.get()); }
-  bool silent() const;  // nothing has come in, not even an end
-  bool ended() const;   // the peer's end, or an error, is what would be read next
+  evbuffer* input() const { return bufferevent_get_input(bev_.get()); }
+  bool silent() const;   // nothing has come in, not even an end
+  bool ended() const;    // the peer's end, or an error, is what would be read next
+  bool hung_up() const;  // the peer's end has come, or an error, whatever lies unread before it
   evutil_socket_t descriptor() const { return bufferevent_getfd(bev_.get()); }
   bool at_rest() const {  // nothing that has come or is to go is held here
     return unsent() == 0 && evbuffer_get_length(bufferevent_get_input(bev_.get())) == 0;
@@ -67,8 +68,9 @@
   // From now on nothing is read: what comes stays with the kernel, for a peer that may then send it
   // elsewhere. on_closed tells of the peer's end, unless something came before it.
   void leave_unread();
-  void push();  // writes what the kernel takes of it at once, before a close that would drop it
-  void poke();  // calls on_readable again, from the loop, for bytes that have been left in input()
+  void drop_unread();  // what has come to the kernel, so that a close does not reset the connection
+  void push();         // writes what the kernel takes of it at once, before a close that would drop it
+  void poke();         // calls on_readable again, from the loop, for bytes that have been left in input()
 
  private:
   struct Free {
--- a/tests/conformance/peer.h
+++ b/tests/conformance/peer.h
@@ -122,6 +122,7 @@
     }
   }
   void end() { shutdown(fd_, SHUT_WR); }
+  void end_sending() { shutdown(fd_, SHUT_WR); }
   void drop() {
     close(fd_);
     fd_ = -1;
--- a/tests/crossings/grpc/cancel_test.cpp
+++ b/tests/crossings/grpc/cancel_test.cpp
@@ -138,6 +138,26 @@
   serve(*client, stream, "behind");
 }
 
+// It has hung up, and its end lies behind bytes that are not read yet, as its prefill is done: the decode
+// node hears nothing of it.
+TEST_F(GrpcCancel, HangsUpBehindUnreadBytesAsItsPrefillIsDone) {
+  ASSERT_TRUE(hello(*client));
+  client->send(call(*client, 1, "gone"));
+  ASSERT_TRUE(reader = prefill.accept());
+  const std::uint32_t at = take(*reader, "gone");
+  reader->send(prefill_answer(*reader, at));
+  constexpr std::size_t piece = 15'000, pieces = 4;  // what the window allows, and not a whole message
+  string unread = call_head(*client, 3) + frame(DATA, NONE, 3, string("\0\0\1\0\0", 5));
+  for (std::size_t i = 0; i < pieces; ++i)
+    unread += frame(DATA, NONE, 3, string(piece, '\0'));
+  client->send(unread);
+  client->end_sending();
+  ASSERT_TRUE(until([&] { return core.open() == 0; }));
+  EXPECT_TRUE(reader->until([&] { return releases(*reader) > 0; }));
+  ASSERT_TRUE(writer = decode.accept());
+  EXPECT_EQ(stream_of(*writer, "gone"), 0u);
+}
+
 // A connection that closes takes its calls along, and nobody else's.
 TEST_F(GrpcCancel, ByAConnectionThatClosesWhileItsCallsWait) {
   ASSERT_TRUE(hello(*client));
--- a/tests/crossings/http/client_test.cpp
+++ b/tests/crossings/http/client_test.cpp
@@ -181,6 +181,36 @@
   EXPECT_EQ(client.error, 0);
 }
 
+// Its place is needed, or its time at rest is over, in the round in which its next request comes: it is
+// answered, though nobody has looked at it yet.
+TEST_F(ClientCrossing, AsksAsItIsToLeave) {
+  for (const bool place_needed : {true, false}) {
+    http::Front::Options options;
+    options.idle = 30ms;
+    Door here(16, options);
+    Plug client = here.client();
+    client.send("GET /healthz HTTP/1.1\r\n\r\n");
+    here.settle();
+    client.read();
+    const auto ask = [&] {
+      client.send(Door::request("q"));
+      if (place_needed)
+        here.loop.reserve().run_short();
+    };
+    net::Timer asks(here.loop, ask);  // due before the end of the time at rest, and in the same round
+    asks.start(1ms);
+    usleep(60'000);
+    here.settle();
+    ASSERT_EQ(here.sent(), place_needed ? 0u : 1u);
+    if (!place_needed)
+      here.last().done({Outcome::error, 0, {}, {}, true});
+    here.settle();
+    const std::string got = client.read();
+    EXPECT_NE(got.find(place_needed ? "HTTP/1.1 503 " : "HTTP/1.1 400 "), std::string::npos) << got;
+    EXPECT_EQ(client.error, 0);
+  }
+}
+
 // ---- a node's answer that breaks off ----
 
 // Whichever comes first, the client's connection ends without the last chunk, and nothing stays.
