--- a/src/grpc/server.cpp
+++ b/src/grpc/server.cpp
@@ -89,7 +89,7 @@
   listener_ = std::make_unique<net::Listener>(
       loop, listen,
       [this](evutil_socket_t fd) {
-        auto visit = std::make_unique<Visit>(admission_);
+        auto visit = std::make_unique<Visit>();
         Visit& made = *visit;
         using Random = std::minstd_rand;
         limits_.jitter = static_cast<double>(random_() - Random::min()) /
@@ -150,15 +150,6 @@
   return &made;
 }
 
-// Danger: an answer that its client has not taken yet, or a request that is on its way. So the client hears
-// first that the connection ends, and which of its requests count.
-void Server::Visit::dismiss() {
-  if (std::exchange(leaves, true))
-    return session->close();
-  session->go_away();
-  admission.leaving(*this);
-}
-
 void Server::closed(Session& session) {
   const auto found = visits_.find(&session);
   if (found == visits_.end())
--- a/src/grpc/server.h
+++ b/src/grpc/server.h
@@ -88,12 +88,9 @@
 
   // A connection and how many of its calls are open.
   struct Visit : net::Admission::Peer {
-    explicit Visit(net::Admission& of) : admission(of) {}
-    void dismiss() override;
-    net::Admission& admission;
+    void dismiss() override { session->close(); }
     std::unique_ptr<Session> session;
     std::size_t calls = 0;
-    bool leaves = false;
   };
 
   net::Loop& loop_;
