Expectations: a release does not touch a state that a decode waits for

Cause: a scripted node let go of a state that a decode at another node waited for (scripted_nodes.cpp, release), which the protocol excludes; since a release is made beside a decode that is silent, guards.toml:202 failed for it. Change: it asks whether a decode of the request is out.

--- a/src/expect/play/scripted_nodes.cpp
+++ b/src/expect/play/scripted_nodes.cpp
@@ -98,7 +98,7 @@
   const auto arrive = [this, &state, id, refused, call = call.get(), done = std::move(done)] {
     call->timer.reset();
     const PlayedRequest* request = shared_.requests.by_wire_name(id);
-    if (!refused && request && state.held.erase(request->ask.name) > 0)
+    if (!refused && request && !decodes(*request) && state.held.erase(request->ask.name) > 0)
       shared_.freed(state, request->ask.name);
     done(!refused);
   };
@@ -106,6 +106,18 @@
   return call;
 }
 
+// Whether a decode waits for the state: a release does not touch it then.
+bool ScriptedNodes::decodes(const PlayedRequest& request) const {
+  for (const auto& [name, node] : shared_.nodes) {
+    if (node.script->role != Role::write)
+      continue;
+    for (const ScriptedCall* call : node.calls)
+      if (&call->request == &request)
+        return true;
+  }
+  return false;
+}
+
 // ---- For the script ----
 
 void ScriptedNodes::restart(NodeState& node) {
--- a/src/expect/play/scripted_nodes.h
+++ b/src/expect/play/scripted_nodes.h
@@ -50,6 +50,7 @@
 
   void decode(ScriptedCall& call);
   bool state_reachable(const std::string& request) const;
+  bool decodes(const PlayedRequest& request) const;
   void stream(ScriptedCall& call, Micros after);
   void flow(ScriptedCall& call, Micros left);
   // False if the call is gone: whoever is told of an event may let go of the call there and then.
