--- a/review/stage/stage.cpp
+++ b/review/stage/stage.cpp
@@ -206,7 +206,11 @@
 }
 void Fleet::ends(std::size_t attempt) {
   const std::lock_guard lock(mutex);
-  attempts[attempt].ended = now();
+  Attempt& one = attempts[attempt];
+  if (one.ended > 0)
+    return;
+  one.ended = now();
+  say("node " + one.node + ": attempt of " + one.id + " is over");
 }
 void Fleet::hold(const std::string& node, const std::string& id) {
   const std::lock_guard lock(mutex);
@@ -292,36 +296,39 @@
     if (reader_)
       read(socket, id, attempt);
     else
-      goes_on = write(socket, id);
+      goes_on = write(socket, id, attempt);
     fleet_.ends(attempt);
-    say("node " + name_ + ": attempt of " + id + " is over");
     if (!goes_on || socket.ended())
       return;
   }
 }
 
+// An attempt is over for the record before its answer leaves: what the answer sets off may arrive at once.
 // Waiting work is dropped when its connection ends.
-void Node::read(Socket& socket, const std::string& id, std::size_t) {
+void Node::read(Socket& socket, const std::string& id, std::size_t attempt) {
   while (hangs && hangs(id, 0))
     if (!pause(socket, 0.02))
       return;
   if (!pause(socket, settings_.read_time))
     return;
   fleet_.hold(name_, id);
+  fleet_.ends(attempt);
   const std::string body = "{\"cached_tokens\":0}";
   socket.send("HTTP/1.1 202 Accepted\r\nContent-Type: application/json\r\nContent-Length: " +
               std::to_string(body.size()) + "\r\n\r\n" + body);
 }
 
-bool Node::write(Socket& socket, const std::string& id) {
+bool Node::write(Socket& socket, const std::string& id, std::size_t attempt) {
   if (!fleet_.take(id)) {
     say("node " + name_ + ": no state for " + id);
+    fleet_.ends(attempt);
     return socket.send("HTTP/1.1 410 Gone\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n");
   }
   if (!pause(socket, settings_.first_time))
     return false;
   if (breaks && breaks(id)) {
     say("node " + name_ + ": resets the connection under " + id + ", which has begun");
+    fleet_.ends(attempt);
     socket.reset();
     return false;
   }
@@ -342,6 +349,7 @@
   const std::string last =
       "data: {\"choices\":[],\"usage\":{\"prompt_tokens\":2000,\"completion_tokens\":240,"
       "\"prompt_tokens_details\":{\"cached_tokens\":0}}}\n\n";
+  fleet_.ends(attempt);
   return socket.send(chunk(last)) && socket.send(chunk("data: [DONE]\n\n")) && socket.send("0\r\n\r\n");
 }
 
--- a/review/stage/stage.h
+++ b/review/stage/stage.h
@@ -119,7 +119,7 @@
   void serve(int fd);
   bool pause(Socket& socket, double seconds);  // false: the peer has ended
   void read(Socket& socket, const std::string& id, std::size_t attempt);
-  bool write(Socket& socket, const std::string& id);
+  bool write(Socket& socket, const std::string& id, std::size_t attempt);
 
   Fleet& fleet_;
   std::string name_;
