Show that hundreds of half requests take the program over its memory limit

Cause: the front bounds the bodies of all clients to 64 MiB whatever the configuration's memory_mb says, and counts bytes read, not what the growing strings hold.

--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -1,17 +1,47 @@
-// A new version takes over under load, while a bad client sends the id of another client's open request.
+// Hundreds of bad clients send a part of a request at once and stop, and the same again once they are turned
+// away. The over the memory that its configuration gives.
 #include <signal.h>
 #include <unistd.h>
 
-#include <algorithm>
 #include <memory>
 
 #include "stage.h"
 
 namespace {
 
-constexpr double killed_after =
-    3.75;  // SIGKILL after SIGTERM: the longest deadline, 3 s at the most, and 0.7 s
-constexpr int bad_requests = 12;
+constexpr int memory_mb = 80;
+constexpr int bad_clients = 380, usual_clients = 5, waves = 4;
+constexpr std::size_t body_size = 256 * 1024, sent_of_it = 168 * 1024;
+
+// Writes `sent_of_it` bytes of the body, a part to each in turn, and waits for what is owed: an error or a
+// close.
+void misbehave(int port, std::atomic<int>& answered) {
+  const std::string head =
+      "POST /v1/chat/completions HTTP/1.1\r\nHost: origin.svc\r\nReq-Kind: estratto\r\nReq-Deadline: "
+      "7.500\r\n"
+      "Content-Type: application/json\r\nContent-Length: " +
+      std::to_string(body_size) + "\r\nReq-Id: bad";
+  std::vector<std::unique_ptr<stage::Socket>> sockets;
+  for (int i = 0; i < bad_clients; ++i) {
+    sockets.push_back(std::make_unique<stage::Socket>(stage::Socket::connect_to(port)));
+    if (sockets.back()->fd() >= 0)
+      sockets.back()->send(head + std::to_string(i) + "\r\n\r\n");
+  }
+  const std::string part(8192, 'x');
+  for (std::size_t sent = 0; sent < sent_of_it; sent += part.size())
+    for (const auto& socket : sockets)
+      if (socket->fd() >= 0)
+        socket->send(part);
+  stage::say("bad clients: " + std::to_string(bad_clients) + " have written " + std::to_string(sent_of_it) +
+             " of " + std::to_string(body_size) + " bytes each");
+  const double until = stage::now() + 3;
+  for (const auto& socket : sockets)
+    while (socket->fd() >= 0 && stage::now() < until)
+      if (const int got = socket->receive(0.1); got != 0) {
+        ++answered;
+        break;
+      }
+}
 
 }  // namespace
 
@@ -21,8 +51,8 @@
   platform.folder = argv[2];
   platform.root = argv[3];
   platform.run = argv[4];
-  const int listener =
-      stage::listen_any(platform.listen);  // the platform's socket, descriptor 5 of each process
+  platform.listen = stage::free_port();
+  platform.memory_mb = memory_mb;
 
   stage::Fleet fleet;
   stage::Discovery discovery;
@@ -33,53 +63,57 @@
     discovery.list(*nodes.back(), "milano", 1, "active");
   }
   const std::string config = write_config(platform, discovery.known(), "config.json");
-  const int first_door = stage::free_port(), second_door = stage::free_port();
-  stage::Process first(platform, config, first_door, listener, "first");
-  if (!stage::wait_ready(first_door, "/ready", 10))
+  stage::Process program(platform, config, 0, -1, "first");
+  if (!stage::wait_ready(platform.listen, "/healthz", 10))
     stage::cannot_run("the program does not become ready");
 
-  // The usual client's request. Its stream takes 14 s.
-  std::atomic<int> events{0};
-  stage::Answer answer;
-  std::thread client([&] { answer = stage::ask(platform.listen, {.id = "usual1"}, 25, &events); });
-  while (events < 3)
+  std::vector<stage::Answer> answers(usual_clients);
+  std::atomic<int> events{0}, bad_answered{0};
+  std::vector<std::thread> clients;
+  for (int i = 0; i < usual_clients; ++i)
+    clients.emplace_back([&, i] {
+      answers[static_cast<std::size_t>(i)] =
+          stage::ask(platform.listen, {.id = "usual" + std::to_string(i)}, 25, &events);
+    });
+  while (events < 2 * usual_clients)
     if (stage::sleep_for(0.02); stage::now() > 10)
-      stage::cannot_run("the first request is not served");
+      stage::cannot_run("the usual requests are not served");
+  const long before = program.memory();
+  if (before == 0 || before > memory_mb * 1024L / 2)
+    stage::cannot_run("the program's memory can't be told, or is large before the bad clients come");
 
-  std::unique_ptr<stage::Process> second;
-  if (stage::trouble()) {
-    second = std::make_unique<stage::Process>(platform, config, second_door, listener, "second");
-    if (!stage::wait_ready(second_door, "/ready", 6))
-      stage::cannot_run("the new version does not become ready");
-  }
-  // Between the yes and SIGTERM both processes take clients.
-  std::vector<std::thread> bad;
-  std::vector<stage::Answer> bad_answers(bad_requests);
-  for (int i = 0; i < bad_requests; ++i) {
-    bad.emplace_back([&, i] {
-      bad_answers[static_cast<std::size_t>(i)] = stage::ask(platform.listen, {.id = "usual1"}, 20);
-    });
-    stage::sleep_for(0.1);
-  }
-  stage::sleep_for(0.3);
-  if (stage::trouble()) {
-    first.signal(SIGTERM);
-    if (!first.wait(killed_after)) {
-      first.signal(SIGKILL);
-      first.wait(2);
+  // The platform: over memory_mb the conductor is killed.
+  std::atomic<long> peak{before};
+  std::atomic<bool> killed{false}, over{false};
+  std::thread watcher([&] {
+    while (!over && !killed) {
+      peak = std::max(peak.load(), program.memory());
+      if (peak > memory_mb * 1024L) {
+        stage::say("platform: the conductor has used " + std::to_string(peak) + " kB of " +
+                   std::to_string(memory_mb * 1024L) + " kB and is killed");
+        program.signal(SIGKILL);
+        killed = true;
+      }
+      stage::sleep_for(0.0005);
     }
-  }
-  client.join();
-  for (auto& one : bad)
-    one.join();
+  });
+  for (int wave = 0; stage::trouble() && wave < waves && !killed; ++wave)
+    misbehave(platform.listen, bad_answered);
+  for (auto& client : clients)
+    client.join();
+  over = true;
+  watcher.join();
+  stage::say("memory: " + std::to_string(before) + " kB before the bad clients, " + std::to_string(peak) +
+             " kB at the most; " + std::to_string(bad_answered) + " bad clients got an error or a close");
 
-  std::vector<std::string> breaches = fleet.doubles;
-  if (!answer.whole || answer.status != 200 || !answer.done)
-    breaches.push_back("the usual client's stream ended after " + std::to_string(answer.events) +
-                       " of 62 events: " + answer.how);
-  for (int i = 0; i < bad_requests; ++i)
-    if (bad_answers[static_cast<std::size_t>(i)].status == 200)
-      breaches.push_back("bad request " + std::to_string(i) +
-                         " with the id of the usual client's open request is served");
+  std::vector<std::string> breaches;
+  if (killed)
+    breaches.push_back("the conductor used " + std::to_string(peak) + " kB of memory, more than the " +
+                       std::to_string(memory_mb) +
+                       " MB of its configuration, and was killed: it has crashed");
+  for (std::size_t i = 0; i < answers.size(); ++i)
+    if (!answers[i].whole || answers[i].status != 200)
+      breaches.push_back("the stream of usual" + std::to_string(i) + " ended after " +
+                         std::to_string(answers[i].events) + " of 62 events: " + answers[i].how);
   return stage::verdict(breaches);
 }
--- a/review/stage/stage.cpp
+++ b/review/stage/stage.cpp
@@ -446,8 +446,8 @@
   const auto us = [](double seconds) { return std::to_string(static_cast<long>(seconds * 1e6)); };
   out << "{\"name\":\"n1\",\"listen\":\"127.0.0.1:" << platform.listen
       << "\",\"discovery\":\"127.0.0.1:" << platform.discovery << "\",\"seed\":\"8c1f30d27a5be964\","
-      << "\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},\"known\":" << known
-      << ",\"settings\":{"
+      << "\"limits\":{\"cores\":1.0,\"memory_mb\":" << platform.memory_mb
+      << ",\"sockets\":1024},\"known\":" << known << ",\"settings\":{"
       << "\"accounts\":[],\"clients\":{\"marks-retry\":true},\"discovery\":\"pushed\","
       << "\"extra\":{\"aim-us-per-1000-prompt-tokens\":[40000.0],\"cross-cell-price\":0.03,"
       << "\"early-pairing\":false,\"kind-role\":[\"read\",\"write\"],\"read-in-place\":false,"
@@ -536,6 +536,13 @@
   status = status_;
   return over_;
 }
+long Process::memory() const {
+  std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+  for (std::string line; std::getline(status, line);)
+    if (line.rfind("RssAnon:", 0) == 0)
+      return std::atol(line.c_str() + 8);
+  return 0;
+}
 bool Process::wait(double seconds) {
   const double until = now() + seconds;
   int status = 0;
--- a/review/stage/stage.h
+++ b/review/stage/stage.h
@@ -166,6 +166,7 @@
   int discovery = 0;
   std::string idempotency = "\"idempotency\":\"read_like\"";
   double deadline = 7.5;
+  int memory_mb = 192;
   std::string extra;  // further members of the settings' "limits"
 };
 // Writes the configuration file; returns its path.
@@ -180,6 +181,9 @@
   bool ended(int& status);  // reaps it
   bool wait(double seconds);
   const std::string& name() const { return name_; }
+  // RssAnon of the process, in kB: its own pages, without those of files such as the libraries. 0 once it has
+  // ended.
+  long memory() const;
 
  private:
   std::string name_;
