Bound what clients make the process hold by limits.memory_mb, on every front

What callers saw: 380 clients sent 168 KiB of a body of 256 KiB and stopped, and again when rejected.

Cause: limits.memory_mb was read nowhere. A constant of 64 MiB bounded the bytes of HTTP bodies that had arrived, not the strings that held them, which grow by doubling; gRPC messages had no bound over all calls. On the same ground connections between requests kept their last body uncounted, and a request whose client had gone was no longer counted.

Change: net::MemoryBudget, owned by the loop and shared by the fronts, is a quarter of the limit (64 MiB at most, half while two processes run). Holders report the memory that they occupy. Over the limit, the incomplete requests that hold the most are rejected with 503 or UNAVAILABLE, which is harmless: they have had no effect, and clients that send little are served meanwhile. A value that is no number from 1 on is a fault of the file.

Test replaced: edges_floods bodies_of_all took the last client to be the one that is refused. It now counts the refused over all clients, checks the bound after each one, and that a small request is served while memory is full.

--- a/src/cli/limits.cpp
+++ b/src/cli/limits.cpp
@@ -2,6 +2,7 @@
 
 #include "grpc/node_client.h"
 #include "http/node_client.h"
+#include "net/memory_budget.h"
 #include "net/reserve.h"
 #include "ops/management.h"
 
@@ -18,8 +19,18 @@
   return shared_descriptors(platform) / 8;
 }
 
+// The rest of the process's memory is for the program itself, its nodes and connections, and what the
+// allocator keeps.
+constexpr std::size_t client_memory_share = 4;
+constexpr std::size_t bytes_per_mb = 1000 * 1000;
+
 }  // namespace
 
+std::size_t client_memory(const config::Platform& platform, std::size_t parts) {
+  const std::size_t share = platform.memory_mb * bytes_per_mb / client_memory_share;
+  return std::min(share, net::MemoryBudget::default_limit) / parts;
+}
+
 std::size_t front_places(const config::Platform& platform) {
   return shared_descriptors(platform) * 2 / 5;
 }
--- a/src/cli/limits.h
+++ b/src/cli/limits.h
@@ -12,6 +12,8 @@
 
 namespace lemonroute::cli {
 
+/// Returns how many bytes one of `parts` processes of this router may hold for its clients.
+std::size_t client_memory(const config::Platform& platform, std::size_t parts);
 std::size_t front_places(const config::Platform& platform);
 NodeTransport::Limits node_limits(const config::Platform& platform,
                                   std::size_t parts);  // one of so many equal parts
--- a/src/cli/program.cpp
+++ b/src/cli/program.cpp
@@ -70,6 +70,7 @@
         hang_up_(loop_, SIGHUP, [this] { reload(); }) {
     say_unused(platform);
     loop_.reserve().keep(net::Reserve::usual);
+    loop_.memory().set_limit(client_memory(platform, parts()));
     if (!settings.grpc_listen.empty()) {
       grpc_ = std::make_unique<Grpc>(*this, settings);
       logging::info() << "gRPC on " << settings.grpc_listen;
@@ -204,6 +205,7 @@
                                  : "no other process of this router runs");
       const std::size_t parts = this->parts();
       front_.limit(std::max<std::size_t>(2, front_places(platform_) / parts));
+      loop_.memory().set_limit(client_memory(platform_, parts));
       nodes_->set_limits(node_limits(platform_, parts));
       if (grpc_)
         grpc_->server.limit(std::max<std::size_t>(2, grpc_->places / parts));
@@ -225,6 +227,8 @@
       say_unused(platform);
       platform_.settings = platform.settings;
       platform_.connection_idle = platform.connection_idle;
+      platform_.memory_mb = platform.memory_mb;
+      loop_.memory().set_limit(client_memory(platform_, parts()));
       nodes_->set_limits(node_limits(platform_, parts()));
       router_.update_settings(platform.settings, platform.zones, platform.kinds);
       if (!watch_)
--- a/src/config/installation.cpp
+++ b/src/config/installation.cpp
@@ -167,6 +167,9 @@
     std::int64_t sockets = 1024;
     if (in->whole("sockets", sockets, 64, 1000000))
       to.sockets = static_cast<std::size_t>(sockets);
+    auto memory_mb = static_cast<std::int64_t>(to.memory_mb);
+    if (in->whole("memory_mb", memory_mb, 16, 1000000))
+      to.memory_mb = static_cast<std::size_t>(memory_mb);
     in->end();
   }
   if (auto in = file.table("settings"))
--- a/src/config/known_settings.cpp
+++ b/src/config/known_settings.cpp
@@ -13,6 +13,7 @@
 // An entry stands for all that is beneath it.
 constexpr std::string_view used[] = {"/discovery",
                                      "/known",
+                                     "/limits.memory_mb",
                                      "/limits.sockets",
                                      "/listen",
                                      "/mgmt",
@@ -61,9 +62,8 @@
                                      "zones"};
 
 // One request a connection, no probes, no talk among routers but by [peers]; weights, prices and scores are
-// not what decides. Places and processor time are held to by what the process itself may have.
+// not what decides. Processor time is held to by what the process itself may have.
 constexpr std::string_view unused[] = {"/limits.cores",
-                                       "/limits.memory_mb",
                                        "accounts[].share",
                                        "clients.marks-retry",
                                        "extra.cross-cell-price",
--- a/src/config/operator.cpp
+++ b/src/config/operator.cpp
@@ -244,6 +244,7 @@
 # name = "estratti-1"
 # listen = "127.0.0.1:8000"
 # sockets = 1024              # most descriptors
+# memory_mb = 256             # the process is killed over this; bounds what is held for clients
 # discovery = "127.0.0.1:8500"  # instead of [[fleet]]
 
 # [settings]
--- a/src/config/platform.cpp
+++ b/src/config/platform.cpp
@@ -16,6 +16,8 @@
 
 using nlohmann::json;
 
+constexpr double largest_memory_mb = 1e9;
+
 std::string plain(const json& value) {
   std::string text = value.is_string() ? value.get<std::string>() : value.is_null() ? "" : value.dump();
   for (char& c : text)
@@ -113,6 +115,15 @@
   return seed;
 }
 
+std::size_t memory_limit(const json& limits, std::size_t usual) {
+  const auto found = limits.find("memory_mb");
+  if (found == limits.end())
+    return usual;
+  if (!found->is_number() || found->get<double>() < 1)
+    throw ConfigError("limits.memory_mb must be a number from 1 on");
+  return static_cast<std::size_t>(std::min(found->get<double>(), largest_memory_mb));
+}
+
 void check_usable(const Settings& settings) {
   if (settings.classes.empty())
     throw ConfigError("settings: no classes in lanes");
@@ -154,8 +165,10 @@
     platform.not_read = left.unused;
     platform.unknown = left.unknown;
     platform.seed = seed_of(config);
-    if (const auto limits = config.find("limits"); limits != config.end())
+    if (const auto limits = config.find("limits"); limits != config.end()) {
       platform.sockets = limits->value("sockets", platform.sockets);
+      platform.memory_mb = memory_limit(*limits, platform.memory_mb);
+    }
     const json& settings = config.at("settings");
     platform.settings = parse_settings(flatten(settings));
     keep_names(settings, platform.settings);
--- a/src/config/platform.h
+++ b/src/config/platform.h
@@ -25,6 +25,7 @@
   std::optional<int> socket;  // the inherited one that listens on `listen` already
   std::uint64_t seed = 0;
   std::size_t sockets = 1024;
+  std::size_t memory_mb = 256;      // beyond which the platform ends the process
   Settings settings;                // without what `unused` names
   std::vector<std::string> unused;  // keys of what the platform allows and this router never does
   std::vector<std::string> not_read,
--- a/src/grpc/front.cpp
+++ b/src/grpc/front.cpp
@@ -38,7 +38,7 @@
       client_request.time_budget = std::max(*budget - passed, Micros(1));
     }
     client_request.prompt = {request.id(), std::string(chat_path),
-                             std::make_shared<std::string>(request.body())};
+                             net::budgeted_text(call_.memory(), std::move(*request.mutable_body()))};
     client_request.request_class = request.kind();
     client_request.tenant = request.tenant();
     client_request.session_key = key_from_text(request.session());
--- a/src/grpc/message.h
+++ b/src/grpc/message.h
@@ -50,6 +50,8 @@
   void encoding(Encoding encoding) { encoding_ = encoding; }  // of messages that say they are compressed
   std::optional<Status> feed(std::string_view piece, const std::function<void(std::string_view)>& message);
   bool between() const { return pending_.empty(); }
+  /// Returns the bytes of memory that an incomplete message holds.
+  std::size_t held() const { return pending_.capacity(); }
 
  private:
   std::string pending_;
--- a/src/grpc/server.cpp
+++ b/src/grpc/server.cpp
@@ -5,7 +5,33 @@
 
 namespace lemonroute::grpc {
 
+namespace {
+
 constexpr std::size_t most_waiting = 64 * 1024;  // of an answer, before the node has to wait
+constexpr std::size_t call_overhead = 8 * 1024;  // memory of an open call besides its messages, in bytes
+constexpr std::chrono::milliseconds retry_after_eviction{1000};
+
+}  // namespace
+
+ServerCall::ServerCall(net::Loop& loop, Session& session, std::int32_t id, Encoding reads, Encoding writes)
+    : loop_(loop), account_(loop.memory(), [this] { evict(); }), session_(session), id_(id), writes_(writes) {
+  reader_.encoding(reads);
+}
+
+void ServerCall::charge_memory() {
+  if (over_)
+    return account_.hold(0);
+  account_.hold(call_overhead + message_.capacity() + reader_.held() + session_.waiting(id_));
+}
+
+// The request has had no effect, so its client may send it again.
+void ServerCall::evict() {
+  loop_.tally().note(net::Overdone::no_memory);
+  constexpr std::string_view text = "refused, try again";
+  Headers more{{"grpc-retry-pushback-ms", std::to_string(retry_after_eviction.count())}};
+  more.push_back(status_details(Status::unavailable, text, "REFUSED", retry_after_eviction));
+  finish(Status::unavailable, text, more);
+}
 
 bool ServerCall::send(const std::string& framed) {
   if (over_)
@@ -13,7 +39,16 @@
   if (!std::exchange(responded_, true))
     session_.respond(id_, head());
   session_.write(id_, framed);
-  return session_.waiting(id_) < most_waiting;
+  charge_memory();
+  if (!memory().is_exhausted())
+    return session_.waiting(id_) < most_waiting;
+  session_.report_drained(id_);
+  return false;
+}
+
+void ServerCall::drained() {
+  charge_memory();
+  method_->drained();
 }
 
 Headers ServerCall::head() const {
@@ -36,6 +71,8 @@
     trailers.emplace_back("grpc-message", percent_encoded(text));
   trailers.insert(trailers.end(), more.begin(), more.end());
   session_.finish(id_, std::move(trailers));
+  account_.set_evictable(false);
+  charge_memory();
   on_over_();
 }
 
@@ -55,6 +92,10 @@
   });
   if (over_)
     return;
+  charge_memory();
+  const bool evicted = over_;
+  if (evicted)
+    return;
   if (fault)
     finish(*fault,
            *fault == Status::resource_exhausted ? "the message is too large" : "the message can't be read");
@@ -66,11 +107,14 @@
 void ServerCall::half_closed() {
   if (over_)
     return;
+  account_.set_evictable(false);
   if (method_->streams() && reader_.between())
     return method_->half_closed();
   if (!has_message_ || !reader_.between())
     return finish(Status::invalid_argument, "the request is not one whole message");
-  method_->message(std::exchange(message_, {}));
+  const std::string message = std::exchange(message_, {});
+  charge_memory();
+  method_->message(message);
 }
 
 void ServerCall::closed(std::uint32_t, bool) {
@@ -118,7 +162,7 @@
     return nullptr;
   }
   const auto reads = parse_encoding(find(headers, "grpc-encoding"));
-  auto call = std::make_unique<ServerCall>(session, id, reads.value_or(Encoding::identity),
+  auto call = std::make_unique<ServerCall>(loop_, session, id, reads.value_or(Encoding::identity),
                                            best_of(find(headers, "grpc-accept-encoding")));
   ServerCall& made = *call;
   Visit& visit = *visits_.at(&session);
@@ -146,7 +190,10 @@
     made.finish(Status::unimplemented, "there is no such method");
     return nullptr;
   }
-  return &made;
+  made.account_.set_evictable(true);
+  made.charge_memory();
+  const bool evicted = made.over_;
+  return evicted ? nullptr : &made;
 }
 
 void Server::closed(Session& session) {
--- a/src/grpc/server.h
+++ b/src/grpc/server.h
@@ -35,10 +35,7 @@
 class ServerCall : StreamEvents {
  public:
   // `reads`, `writes`: what messages may be compressed by, each way.
-  ServerCall(Session& session, std::int32_t id, Encoding reads, Encoding writes)
-      : session_(session), id_(id), writes_(writes) {
-    reader_.encoding(reads);
-  }
+  ServerCall(net::Loop& loop, Session& session, std::int32_t id, Encoding reads, Encoding writes);
   bool send(const std::string& framed);  // false: hold the rest back until Method::drained
   template <class Message>
   requires requires(const Message& message) { message.SerializeAsString(); }
@@ -46,16 +43,22 @@
     return send(frame(std::string_view(message.SerializeAsString()), writes_));
   }
   void finish(Status status, std::string_view text, const Headers& more = {});  // the call is over; once
+  /// The bound on what the process holds for its clients.
+  net::MemoryBudget& memory() { return loop_.memory(); }
 
  private:
   friend class Server;
   void headers(const Headers&) override {}
   void data(std::string_view piece) override;
   void half_closed() override;
-  void drained() override { method_->drained(); }
+  void drained() override;
+  void charge_memory();  // reports what is held to the budget of all clients
+  void evict();          // an incomplete request, whose memory is needed
   Headers head() const;
   void closed(std::uint32_t code, bool sent) override;
 
+  net::Loop& loop_;
+  net::MemoryBudget::Account account_;
   Session& session_;
   std::int32_t id_;
   Encoding writes_;
--- a/src/grpc/session.h
+++ b/src/grpc/session.h
@@ -89,8 +89,10 @@
   // Of a client's request: nothing of it was handed to the connection, and nothing is after a reset.
   bool unsent(std::int32_t id) const;
   std::size_t waiting(std::int32_t id) const;  // bytes written that have not left
-  void hold_back(std::int32_t id, bool on);    // lets the peer wait with its data
-  void check_alive();                          // closes the connection unless the peer answers a ping
+  /// Has StreamEvents::drained called once little of what was written still waits, however little it was.
+  void report_drained(std::int32_t id);
+  void hold_back(std::int32_t id, bool on);  // lets the peer wait with its data
+  void check_alive();                        // closes the connection unless the peer answers a ping
   // Takes no more streams. A server says so in two steps (RFC 9113, 6.8): first that it will, then, once
   // calls that were under way have arrived, which was the last; so none of them is lost.
   void go_away();
@@ -101,6 +103,7 @@
     StreamEvents* events = nullptr;
     Headers incoming;
     std::deque<std::string> out;
+    std::unique_ptr<net::MemoryBudget::Account> request_memory;  // of a client's request, until it has left
     std::size_t out_offset = 0, out_size = 0, unconsumed = 0;
     Headers trailers;
     bool responded = false, ended = false, held_back = false, parked = false, full = false;
--- a/src/grpc/session/out.cpp
+++ b/src/grpc/session/out.cpp
@@ -88,6 +88,11 @@
   return found == streams_.end() ? 0 : found->second.out_size;
 }
 
+void Session::report_drained(std::int32_t id) {
+  if (Stream* stream = this->stream(id))
+    stream->full = true;
+}
+
 void Session::hold_back(std::int32_t id, bool on) {
   Stream* stream = this->stream(id);
   if (!stream)
@@ -116,6 +121,8 @@
     }
   }
   stream->out_size -= filled;
+  if (stream->out.empty())
+    stream->request_memory.reset();
   if (filled > 0)
     stream->moved = Guard::Clock::now();
   if (stream->out.empty() && stream->ended) {
--- a/src/grpc/session/waiting.cpp
+++ b/src/grpc/session/waiting.cpp
@@ -22,6 +22,8 @@
   stream.events = &events;
   stream.responded = stream.ended = true;
   stream.out_size = body.size();
+  stream.request_memory = std::make_unique<net::MemoryBudget::Account>(loop_.memory());
+  stream.request_memory->hold(body.capacity());
   stream.out.push_back(std::move(body));
   waiting_.push_back({id, headers, deadline});
   flush_soon();
--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -13,14 +13,15 @@
 // as this is left in it, and the loop never rests. So wherever reading is on, what comes is taken or dropped.
 constexpr std::size_t most_input = 64 * 1024;
 constexpr Micros cut_within = std::chrono::seconds(1);  // for the events before a cut to be taken
-constexpr std::size_t most_bodies =
-    64 * 1024 * 1024;  // of all clients together, unfinished ones and those at work
 constexpr double characters_a_token = 4;
 
 }  // namespace
 
 ClientConnection::ClientConnection(Front& front, evutil_socket_t fd)
-    : front_(front), timer_(front.loop_, [this] { on_timer(); }), connection_(front.loop_, fd, *this) {
+    : front_(front),
+      timer_(front.loop_, [this] { on_timer(); }),
+      connection_(front.loop_, fd, *this),
+      memory_(front.loop_.memory(), [this] { evict_request(); }) {
   connection_.limit_input(most_input);
   timer_.start(front_.options_.asking);
 }
@@ -33,7 +34,6 @@
   keep_ = !closes_;
 }
 ClientConnection::~ClientConnection() {
-  forget_body();
   if (state_ == State::waiting || state_ == State::streaming)
     front_.router_.client_disconnected(id_);
 }
@@ -54,9 +54,10 @@
   if (state_ == State::body)
     read_body();
   if (state_ == State::waiting || state_ == State::streaming)
-    return read_ahead();
-  if (state_ == State::ending || state_ == State::lingering)
+    read_ahead();
+  else if (state_ == State::ending || state_ == State::lingering)
     drop_input();
+  charge_memory();
 }
 
 void ClientConnection::read_head() {
@@ -79,7 +80,6 @@
   if (same_name(scan.head.field("Expect"), "100-continue") && status_ == 0)
     connection_.write("HTTP/1.1 100 Continue\r\n\r\n");
   evbuffer_drain(connection_.input(), scan.length);
-  text_ = std::make_shared<std::string>();
   state_ = State::body;
 }
 
@@ -87,6 +87,7 @@
 // all of it, so the time of the first request runs from connecting on and is never started anew.
 void ClientConnection::begin_request() {
   whole_ = false;
+  memory_.set_evictable(true);
   if (std::exchange(in_request_, true) || !asked_)
     return;
   timer_.start(front_.options_.asking);
@@ -95,23 +96,19 @@
 
 void ClientConnection::read_body() {
   const auto state = body_.take(connection_.input(), [this](std::string_view piece) {
-    text_->append(piece);
-    body_size_ += piece.size();
-    front_.bodies_ += piece.size();
+    received_.append(piece);
     return true;
   });
-  // Guards the memory against bodies that come at all places at once; trying again is harmless.
-  if (front_.bodies_ > most_bodies) {
-    forget_body();
-    front_.loop_.tally().note(net::Overdone::no_memory);
-    keep_ = false;
-    return answer(503, "Retry-After: 1\r\n");
-  }
+  charge_memory();
+  const bool evicted = state_ != State::body;
+  if (evicted)
+    return;
   if (state == Body::State::fault)
     return answer_and_close(static_cast<int>(body_.fault()));
   if (state == Body::State::more)
     return;
   timer_.stop();
+  memory_.set_evictable(false);
   in_request_ = false;
   asked_ = whole_ = true;
   front_.admission_.busy(*this);
@@ -121,7 +118,8 @@
   // wants nothing.
   if (connection_.ended())
     return close();
-  client_request_.prompt.body = std::move(text_);
+  client_request_.prompt.body = net::budgeted_text(front_.loop_.memory(), received_.take());
+  charge_memory();
   if (client_request_.prompt_tokens == 0)
     client_request_.prompt_tokens =
         static_cast<double>(client_request_.prompt.body->size()) / characters_a_token;
@@ -131,7 +129,27 @@
     answer(400);
 }
 
+void ClientConnection::release_request() {
+  memory_.set_evictable(false);
+  received_.clear();
+  client_request_.prompt.body.reset();
+  charge_memory();
+}
+
+void ClientConnection::charge_memory() {
+  memory_.hold(received_.capacity() + evbuffer_get_length(connection_.input()) + connection_.unsent());
+}
+
+// The request has had no effect, so its client may send it again.
+void ClientConnection::evict_request() {
+  front_.loop_.tally().note(net::Overdone::no_memory);
+  received_.clear();
+  keep_ = false;
+  answer(503, "Retry-After: 1\r\n");
+}
+
 void ClientConnection::on_drained() {
+  charge_memory();
   if (state_ == State::ending)
     return finish_ending();
   if (state_ == State::streaming && std::exchange(held_back_, false)) {
@@ -180,7 +198,8 @@
   }
   chunk << std::hex << text.size() + 1 << "\r\n" << text << "\n\r\n";
   connection_.write(chunk.str());
-  if (connection_.unsent() < most_unsent)
+  charge_memory();
+  if (connection_.unsent() < most_unsent && !front_.loop_.memory().is_exhausted())
     return true;
   held_back_ = true;
   timer_.start(front_.options_.sending);
@@ -240,7 +259,7 @@
 void ClientConnection::complete(bool closes) {
   timer_.stop();
   in_request_ = false;
-  forget_body();
+  release_request();
   // Guards against a stream whose head went out before the program began to drain and so did not say that the
   // connection ends: the client would ask again on it, of a process that is about to end. What it has asked
   // by now is answered, by an answer that says so. And against a client that sends request behind request and
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -7,9 +7,11 @@
 #include <string_view>
 
 #include "core/router.h"
+#include "http/body_buffer.h"
 #include "http/message.h"
 #include "net/admission.h"
 #include "net/connection.h"
+#include "net/memory_budget.h"
 
 namespace lemonroute::http {
 
@@ -43,6 +45,9 @@
   void read_head();
   void begin_request();
   void read_body();
+  void charge_memory();    // reports what is held to the budget of all clients
+  void release_request();  // the bytes of a request that is over
+  void evict_request();    // an incomplete request, whose memory is needed
 
   // ---- what goes out ----
   bool on_data(std::string_view data) override;
@@ -62,7 +67,6 @@
   void drop_input();
   void read_ahead();
   void overdone();
-  void forget_body();
 
   Front& front_;
   State state_ = State::head;
@@ -74,10 +78,10 @@
   Micros left_for_{};        // since our end was told
   std::size_t scanned_ = 0;
   Body body_;
-  std::shared_ptr<std::string> text_;
-  std::size_t body_size_ = 0;  // what it holds of Front::bodies_
+  BodyBuffer received_;
   net::Timer timer_;
   net::Connection connection_;
+  net::MemoryBudget::Account memory_;
 };
 
 }  // namespace lemonroute::http
--- a/src/http/client_ending.cpp
+++ b/src/http/client_ending.cpp
@@ -6,6 +6,7 @@
 namespace {
 
 constexpr std::size_t most_ahead = 32 * 1024;  // kept of what comes behind an open request
+constexpr std::size_t most_ahead_short_of_memory = 4 * 1024;
 // After our end the peer has so long to end as well, and may finish sending so much of a request already
 // answered.
 constexpr Micros linger_for = std::chrono::seconds(1);
@@ -42,7 +43,7 @@
 // What comes from now on belongs to no answer of this connection, unless its request is not whole.
 void ClientConnection::begin_ending(Micros within) {
   state_ = State::ending;
-  forget_body();
+  release_request();
   if (whole_)
     connection_.read(false);
   timer_.start(within);
@@ -98,7 +99,8 @@
 // bound; beyond that it is dropped, and the connection ends with the answer, since the next request's
 // beginning is lost.
 void ClientConnection::read_ahead() {
-  if (dropped_ == 0 && evbuffer_get_length(connection_.input()) <= most_ahead)
+  const std::size_t most = front_.loop_.memory().is_exhausted() ? most_ahead_short_of_memory : most_ahead;
+  if (dropped_ == 0 && evbuffer_get_length(connection_.input()) <= most)
     return;
   if (dropped_ == 0)
     front_.loop_.tally().note(net::Overdone::sent_ahead, client_request_.prompt.id);
@@ -121,9 +123,4 @@
     begin_ending(linger_for);
 }
 
-void ClientConnection::forget_body() {
-  front_.bodies_ -= std::exchange(body_size_, 0);
-  text_.reset();
-}
-
 }  // namespace lemonroute::http
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -48,7 +48,6 @@
   Router& router_;
   Options options_;
   bool draining_ = false;
-  std::size_t bodies_ = 0;  // bytes of requests that are coming or at work
   net::Admission admission_;
   std::map<ClientConnection*, std::unique_ptr<ClientConnection>> connections_;
   std::vector<std::unique_ptr<net::Listener>> listeners_;
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "net/memory_budget.h"
 #include "net/reserve.h"
 #include "net/tally.h"
 
@@ -33,6 +34,8 @@
   event_base* base() const { return base_.get(); }
   Tally& tally() { return tally_; }
   Reserve& reserve() { return *reserve_; }
+  /// The bound on what the process holds for its clients, of all fronts.
+  MemoryBudget& memory() { return *memory_; }
   void run();
   void run_once();  // waits for one round of events and handles it
   void stop();
@@ -50,6 +53,7 @@
     void operator()(event_base* base) const { event_base_free(base); }
   };
   void run_deferred();
+  const std::shared_ptr<MemoryBudget> memory_ = std::make_shared<MemoryBudget>();
   std::unique_ptr<event_base, BaseFree> base_;
   EventPtr deferred_event_;
   std::vector<std::function<void()>> deferred_;
--- a/tests/core/grpc_front_test.cpp
+++ b/tests/core/grpc_front_test.cpp
@@ -72,6 +72,33 @@
   EXPECT_FALSE(server.idle());  // the connection stays open
 }
 
+// Guards against a stream that is paused for want of memory and never resumed.
+TEST_F(GrpcFront, ExhaustedMemoryPausesTheNodeUntilItsEventHasLeft) {
+  exchange_settings();
+  send_request(1);
+  finish_prefill();
+  loop.memory().set_limit(1);
+  for (const char* event : {"one", "two", "three"}) {
+    decode_handler().on_data(event);
+    EXPECT_TRUE(nodes.begun.back().paused);
+    EXPECT_TRUE(peer->until([&] { return !nodes.begun.back().paused; }));
+    EXPECT_TRUE(peer->until([&] { return peer->body(1).find(event) != string::npos; }));
+  }
+  // A new call holds memory itself, so it is refused.
+  peer->send(frame(HEADERS, END_HEADERS, 3,
+                   peer->block({{":method", "POST"},
+                                {":scheme", "http"},
+                                {":path", "/lemonroute.v1.Drafting/Generate"},
+                                {":authority", "x"},
+                                {"content-type", "application/grpc"},
+                                {"te", "trailers"}})));
+  ASSERT_TRUE(peer->until([&] { return peer->over(3); }));
+  EXPECT_EQ(peer->field(3, "grpc-status"), "14");
+  nodes.begun.back().attempt->on_done({Outcome::ok, 0, {}, {}});
+  ASSERT_TRUE(peer->until([&] { return peer->over(1); }));
+  EXPECT_EQ(peer->field(1, "grpc-status"), "0");
+}
+
 TEST_F(GrpcFront, ClosedConnectionClosesItsRequests) {
   for (const bool half_close : {false, true}) {
     peer = std::make_unique<Peer>(loop, Peer::dial(server.port()));
--- a/tests/discovery/keys_test.cpp
+++ b/tests/discovery/keys_test.cpp
@@ -39,7 +39,6 @@
   const Unread left = unread(whole(every_key()));
   EXPECT_EQ(left.unknown, Keys{});
   EXPECT_EQ(left.unused, (Keys{"/limits.cores",
-                               "/limits.memory_mb",
                                "accounts[].share",
                                "clients.marks-retry",
                                "extra.cross-cell-price",
@@ -128,6 +127,22 @@
   EXPECT_EQ(platform.settings.overload_factor, 2.5);
 }
 
+// Guards against a memory limit that is mistyped and then taken for the usual one.
+TEST(Keys, AMemoryLimitIsAPositiveNumber) {
+  json file = whole(every_key());
+  file["limits"]["memory_mb"] = 64.5;
+  EXPECT_EQ(parse_platform(file.dump()).memory_mb, 64u);
+  for (const json& wrong : {json("80"), json(0), json(-5), json(true), json::array()}) {
+    file["limits"]["memory_mb"] = wrong;
+    try {
+      parse_platform(file.dump());
+      ADD_FAILURE() << wrong;
+    } catch (const ConfigError& error) {
+      EXPECT_STREQ(error.what(), "limits.memory_mb must be a number from 1 on") << wrong;
+    }
+  }
+}
+
 // What is allowed, what is left unread and what is unknown are one line of the log.
 TEST(Keys, AreOneLine) {
   json settings = every_key();
--- a/tests/edges/floods.cpp
+++ b/tests/edges/floods.cpp
@@ -74,7 +74,8 @@
   assert(door.until([&] { return door.front.idle(); }, 5s));
 }
 
-// Bodies of all clients together are bounded; who comes too late for one may come again.
+// Bodies of all clients together are bounded: those whose incomplete bodies hold the most are refused and may
+// come again, and one that holds little is served meanwhile.
 void bodies_of_all() {
   constexpr std::size_t places = 300, size = 250'000;
   http::Front::Options options;
@@ -82,31 +83,63 @@
   Door door(places + 1, options);
   std::vector<Plug> clients;
   std::size_t refused = 0;
+  const auto count_refused = [&] {
+    for (Plug& client : clients)
+      if (const std::string got = client.read(); got.find("503 ") != std::string::npos) {
+        assert(got.find("Retry-After: ") != std::string::npos && client.error == 0);
+        ++refused;
+      }
+  };
   for (std::size_t i = 0; i < places; ++i) {
     Plug client(door.front.port());
     client.send("POST /v1/chat/completions HTTP/1.1\r\nReq-Id: q" + std::to_string(i) +
                 "\r\nReq-Kind: k\r\nContent-Length: 262144\r\n\r\n");
     const std::string body(size, 'x');
-    std::string got;
-    for (std::size_t sent = 0; sent < size && !client.ended; got += client.read()) {
+    for (std::size_t sent = 0; sent < size; door.settle())
       sent += client.send(std::string_view(body).substr(sent));
-      door.settle();
-    }
-    if (got.find("503 ") != std::string::npos) {
-      assert(got.find("Retry-After: ") != std::string::npos && client.error == 0);
-      ++refused;
-    }
     clients.push_back(std::move(client));
+    assert(door.loop.memory().held() <= door.loop.memory().limit());
+    count_refused();
     if (refused > 2)
       break;
   }
   assert(refused > 2 && door.loop.tally().counted(Overdone::no_memory) == refused);
+  Plug small = door.client();
+  small.send(Door::request("small"));
+  door.settle();
+  assert(door.sent() == 1);
   clients.clear();
   door.settle();
   Plug client = door.client();
   client.send(Door::request("q"));
   door.settle();
-  assert(door.sent() == 1);
+  assert(door.sent() == 2);
+}
+
+// While memory is short and nothing incomplete can be refused, a node waits after each event until its client
+// has taken it, and no event is lost.
+void memory_short() {
+  Door door;
+  Plug client = door.client();
+  client.send(Door::request("q1"));
+  door.settle();
+  door.done(Outcome::prefill_done);
+  door.loop.memory().set_limit(1);
+  for (const char* event : {"one", "two", "three"}) {
+    door.last().on_data(event);
+    assert(door.nodes.begun.back().paused);
+    door.settle();
+    assert(!door.nodes.begun.back().paused);
+  }
+  Plug refused = door.client();
+  refused.send(Door::request("q2"));
+  door.settle();
+  assert(refused.read().find("503 ") != std::string::npos && door.sent() == 2);
+  door.done(Outcome::ok);
+  door.settle();
+  const std::string got = client.read();
+  assert(got.find("data: one") < got.find("data: two") && got.find("data: two") < got.find("data: three"));
+  assert(got.find("data: three") != std::string::npos && got.find("\r\n0\r\n\r\n") != std::string::npos);
 }
 
 // One line a second and kind, which says how many it leaves out; the figures leave out none.
@@ -139,4 +172,5 @@
   without_end();
   answers_untaken();
   bodies_of_all();
+  memory_short();
 }
--- a/tests/net/core_bed.h
+++ b/tests/net/core_bed.h
@@ -17,9 +17,15 @@
 };
 
 struct NoteCall : Call {
-  explicit NoteCall(std::function<void()> over) : over_(std::move(over)) {}
+  explicit NoteCall(std::function<void()> over, std::function<void(bool)> paused = {})
+      : over_(std::move(over)), paused_(std::move(paused)) {}
   ~NoteCall() override { over_(); }
+  void set_reading_paused(bool paused) override {
+    if (paused_)
+      paused_(paused);
+  }
   std::function<void()> over_;
+  std::function<void(bool)> paused_;
 };
 
 struct TestNodes : NodeTransport {
@@ -27,6 +33,7 @@
     EndpointId host;
     AttemptHandler* attempt;
     bool open;
+    bool paused = false;
   };
   std::vector<Begun> begun;
   bool many = false;  // several requests under way
@@ -36,7 +43,9 @@
     for (const auto& one : begun)
       assert(many || !one.open);  // never two attempts out at once
     begun.push_back({node.id, &attempt, true});
-    return std::make_unique<NoteCall>([this, i = begun.size() - 1] { begun[i].open = false; });
+    const std::size_t i = begun.size() - 1;
+    return std::make_unique<NoteCall>([this, i] { begun[i].open = false; },
+                                      [this, i](bool paused) { begun[i].paused = paused; });
   }
   std::unique_ptr<Call> release_reservation(const Node& node, const std::string&,
                                             std::function<void(bool)> done) override {
--- a/tests/net/tools_test.cpp
+++ b/tests/net/tools_test.cpp
@@ -163,6 +163,7 @@
        "kind = \"reader\"\n[[fleet]]\nname = \"r1\"\naddress = \"127.0.0.1:2\"\nkind = \"reader\"",
        ":16: ", "is there twice"},
       {"[serve]", "[serve]\ndiscovery = \"127.0.0.1:3\"", ":12: ", "not from both"},
+      {"[serve]", "[serve]\nmemory_mb = 0", ":2: ", "memory_mb"},
       {"listen = \"127.0.0.1:0\"\n", "", ": ", "serve.listen: is missing"},
       {"[classes.k]\naim = \"1s\"\ndeadline = \"6s\"\n", "", ": ", "classes: is missing"},
   };
