Reject requests that are completed after the shutdown window, on every front

The platform excuses that only up to 0.7 s.

Cause: the window of 0.6 s ended listeners and idle connections; nothing bounded the acceptance of a request. HTTP submitted what became complete within its 2 s, and what waited behind another answer; gRPC also what was opened before the last GOAWAY, up to 1.1 s after SIGTERM.

Change: 0.65 s after SIGTERM Router::submit, where every front submits, answers shutting_down and keeps nothing: 503 with Connection: close, or UNAVAILABLE.

Drain.MeetsAClientInTheQueue still checks that the queue is served.

The whole suite has not run yet.

--- a/src/cli/program.cpp
+++ b/src/cli/program.cpp
@@ -20,6 +20,9 @@
 
 // After SIGTERM new connections keep arriving for up to 0.4 s, and may find their first bytes late.
 constexpr milliseconds arrival_window{600};
+// The kill cuts what is still streaming, and excuses that only for requests that arrived within 0.7 s of
+// SIGTERM. What was waiting when the window ended is read within this time.
+constexpr milliseconds acceptance_window{650};
 constexpr milliseconds end_poll{20};
 // It is killed no sooner than 0.7 s after the longest deadline from SIGTERM on, of which 3 s are counted at
 // the most. What waits for its first event by then is answered half a second before that, and what is held
@@ -163,6 +166,7 @@
       front_.drain();
     // Clients send on every connection that stays open, and who asks late may wait longer than there is time.
     router_.set_shutdown_deadline(clock_.now() + last_wait());
+    router_.set_acceptance_deadline(clock_.now() + acceptance_window);
     status_.drain();
     window_.start(arrival_window);
   }
--- a/src/core/router.h
+++ b/src/core/router.h
@@ -81,6 +81,7 @@
     accepted,       ///< the request is open and the client will receive an answer
     unknown_class,  ///< the settings have no class of that name
     duplicate_id,   ///< another request with the same client id is open
+    shutting_down,  ///< the process ends too soon for this request; its client may send it elsewhere
   };
   /// Accepts a request. Unless the result is SubmitResult::accepted, nothing is kept and `client` is never
   /// called.
@@ -113,6 +114,9 @@
   /// Sets the time shortly after which the process ends. No request, open or accepted later, waits for its
   /// first event beyond that time.
   void set_shutdown_deadline(Micros at);
+  /// Sets the time after which no request is accepted any more, because the process may be killed before the
+  /// answer has ended.
+  void set_acceptance_deadline(Micros at);
 
   // ---- for the serving loop ----
 
--- a/src/core/router/router_impl.h
+++ b/src/core/router/router_impl.h
@@ -37,20 +37,23 @@
   void reapply_overlays();
   /// Passes an accepted request to the Scheduler. `class_index` is the index of its class in the settings.
   void schedule(RequestState& request, const ClientRequest& client_request, std::size_t class_index);
+  /// Returns whether the process ends too soon for a request that arrives now.
+  [[nodiscard]] bool is_shutting_down() const;
 
-  Settings settings;             ///< the current settings, without the router count of the fleet view
-  Timers timers;                 ///< the timers of all members
-  RouterContext context;         ///< what all members share
-  Scheduler scheduler;           ///< makes all decisions
-  RequestMetrics metrics;        ///< counts requests by class
-  NodeRegistry nodes;            ///< the nodes that this router knows
-  RequestTable requests;         ///< the open requests
-  ReservationReleaser releaser;  ///< releases reservations at nodes
-  EventDispatcher events;        ///< the queue of events
-  ObserverReporter reporter;     ///< reports to the NodeObserver
-  AttemptRunner attempts;        ///< runs attempts
-  ActionExecutor actions;        ///< executes the Scheduler's actions
-  ProcessHandover handover;      ///< transfers streams and state between processes
+  Settings settings;  ///< the current settings, without the router count of the fleet view
+  std::optional<Micros> acceptance_deadline;  ///< no request is accepted after it; none: no shutdown
+  Timers timers;                              ///< the timers of all members
+  RouterContext context;                      ///< what all members share
+  Scheduler scheduler;                        ///< makes all decisions
+  RequestMetrics metrics;                     ///< counts requests by class
+  NodeRegistry nodes;                         ///< the nodes that this router knows
+  RequestTable requests;                      ///< the open requests
+  ReservationReleaser releaser;               ///< releases reservations at nodes
+  EventDispatcher events;                     ///< the queue of events
+  ObserverReporter reporter;                  ///< reports to the NodeObserver
+  AttemptRunner attempts;                     ///< runs attempts
+  ActionExecutor actions;                     ///< executes the Scheduler's actions
+  ProcessHandover handover;                   ///< transfers streams and state between processes
 };
 
 }  // namespace lemonroute
--- a/src/core/router/submit.cpp
+++ b/src/core/router/submit.cpp
@@ -37,6 +37,11 @@
     return SubmitResult::unknown_class;
   if (impl_->requests.has_client_id(client_request.prompt.id))
     return SubmitResult::duplicate_id;
+  if (impl_->is_shutting_down()) {
+    ++impl_->metrics.counts_of(client_request.request_class)->rejected;
+    logging::debug() << "request rejected: request=" << client_request.prompt.id << " reason=shutdown";
+    return SubmitResult::shutting_down;
+  }
   const FixedRequestSettings fixed_settings{client_request.request_class, settings.max_attempts,
                                             impl_->metrics.counts_of(client_request.request_class)};
   RequestState& request = impl_->requests.add(client_request.prompt, client, fixed_settings);
@@ -45,6 +50,10 @@
   return SubmitResult::accepted;
 }
 
+bool Router::Impl::is_shutting_down() const {
+  return acceptance_deadline && context.now() > *acceptance_deadline;
+}
+
 void Router::Impl::schedule(RequestState& request, const ClientRequest& client_request,
                             std::size_t class_index) {
   const ClassSettings& request_class = settings.classes[class_index];
@@ -104,4 +113,8 @@
   impl_->context.notify_change();
 }
 
+void Router::set_acceptance_deadline(Micros at) {
+  impl_->acceptance_deadline = at;
+}
+
 }  // namespace lemonroute
--- a/src/grpc/front.cpp
+++ b/src/grpc/front.cpp
@@ -57,6 +57,8 @@
       case Router::SubmitResult::duplicate_id:
         taken_ = false;
         return call_.finish(Status::already_exists, "a request with this id is open");
+      case Router::SubmitResult::shutting_down:
+        return reject(Micros(0));
     }
   }
   void drained() override { router_.resume_stream(id_); }
--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -124,9 +124,15 @@
     client_request_.prompt_tokens =
         static_cast<double>(client_request_.prompt.body->size()) / characters_a_token;
   state_ = State::waiting;
-  const auto taken = front_.router_.submit(client_request_, *this, id_);
-  if (taken != Router::SubmitResult::accepted)
-    answer(400);
+  switch (front_.router_.submit(client_request_, *this, id_)) {
+    case Router::SubmitResult::accepted:
+      return;
+    case Router::SubmitResult::shutting_down:
+      return answer(503);
+    case Router::SubmitResult::unknown_class:
+    case Router::SubmitResult::duplicate_id:
+      return answer(400);
+  }
 }
 
 void ClientConnection::release_request() {
--- a/tests/core/program_fixture.h
+++ b/tests/core/program_fixture.h
@@ -39,7 +39,9 @@
   void start(const std::function<void(shapes::json& file)>& edit, const config::Operator& settings = {}) {
     auto file = shapes::json::parse(shapes::file(shapes::one_class()));
     file["listen"] = "127.0.0.1:0";
-    file["discovery"] = "127.0.0.1:9";  // nothing listens there, so the `known` list stays in effect
+    file["name"] =
+        "n3-" + std::to_string(getpid());  // processes of one name are one router, which hands over
+    file["discovery"] = "127.0.0.1:9";     // nothing listens there, so the `known` list stays in effect
     file["known"]["instances"][0]["hostPort"] = "127.0.0.1:" + std::to_string(node_port);
     edit(file);
     platform = config::parse_platform(file.dump());
