Repeat keyed requests within their zone or cell, however the list names them

Cause: NodeRegistry gave all zones that the settings do not name one number, and an operator's file with discovery names none but "a"; the Scheduler compares the numbers. Nodes without a zone, or without a cell (cell 0), counted as one group likewise. The core had no guard for the group, and the rule monitor took empty names for equal.

Change: each zone name has a number of its own; an unknown zone or cell is that of no other node. The core compares zones by name and cells before it sends, behind the Scheduler's check. The monitor does the same.

Tests replaced: Lists.MayLeaveOutWhatADeploymentHasNot held the fault (no cell is cell 0) and now asks for unknown_cell.

--- a/include/lemonroute/events.h
+++ b/include/lemonroute/events.h
@@ -11,13 +11,18 @@
 
 namespace lemonroute {
 
+/// Zone of an endpoint for which the list states none. It is the zone of no other endpoint.
+inline constexpr std::uint8_t unknown_zone = 0xff;
+/// Cell of an endpoint for which the list states none. It is the cell of no other endpoint.
+inline constexpr std::uint16_t unknown_cell = 0xffff;
+
 /// One endpoint of the endpoint list.
 struct Endpoint {
   EndpointId id = 0;      ///< never 0
-  std::uint8_t zone = 0;  ///< zone, numbered as Settings::router_zone
+  std::uint8_t zone = 0;  ///< zone, numbered as Settings::router_zone, or unknown_zone
   std::uint8_t kind =
       0;  ///< machine kind: index into Settings::role_by_kind and Settings::kv_cache_tokens_by_kind
-  std::uint16_t cell = 0;  ///< cell: endpoints near each other; 0 where the list does not state it
+  std::uint16_t cell = unknown_cell;           ///< cell: endpoints near each other
   EndpointState state = EndpointState::ready;  ///< state in the list, or as overridden by an operator
   float weight = 1;                            ///< weight in the list; no decision depends on it
   Micros started_at{};  ///< start of the node's process, on the Scheduler's clock; 0: long ago
--- a/src/config/installation.cpp
+++ b/src/config/installation.cpp
@@ -127,7 +127,7 @@
       zones.push_back(to.zone);
   }
   std::int64_t cell = 0;
-  if (in.whole("cell", cell, 0, 65535))
+  if (in.whole("cell", cell, 0, unknown_cell - 1))
     to.cell = static_cast<std::uint16_t>(cell);
   double weight = 1;
   if (in.number("weight", weight, 0, 1000))
--- a/src/core/router/attempt_results.cpp
+++ b/src/core/router/attempt_results.cpp
@@ -123,8 +123,11 @@
       !never_ran(ended, result) && result.outcome != Outcome::prefill_done && ended.role != Role::prefill;
   if (!ended.streaming && !may_have_answered)
     return;
-  const bool already_known = std::exchange(request.may_have_run, true);
-  if (!already_known && request.retry_window < Micros::max())
+  if (std::exchange(request.may_have_run, true))
+    return;
+  request.first_run_endpoint = ended.endpoint;
+  request.first_run_location = ended.location;
+  if (request.retry_window < Micros::max())
     request.retry_deadline = ended.sent_at + request.retry_window;
 }
 
--- a/src/core/router/attempt_runner.cpp
+++ b/src/core/router/attempt_runner.cpp
@@ -34,6 +34,14 @@
   return request.may_have_run && nodes_.role_of(endpoint) != Role::prefill;
 }
 
+// Only nodes of one group detect each other's repeats of a request with a key.
+bool AttemptRunner::may_repeat_at(const RequestState& request, EndpointId endpoint) const {
+  if (!request.first_run_location || endpoint == request.first_run_endpoint)
+    return true;
+  const Node* node = nodes_.find(endpoint);
+  return node && request.first_run_location->in_same_group(node->location(), request.retry_scope);
+}
+
 // The Scheduler enforces these rules itself. They are checked again because an attempt that violates one of
 // them could execute a request twice.
 std::optional<Outcome> AttemptRunner::reason_not_to_send(const RequestState* request, std::uint16_t number,
@@ -46,6 +54,8 @@
     return Outcome::not_applicable;
   if (would_repeat(*request, endpoint) && now >= request->retry_deadline)
     return Outcome::not_applicable;
+  if (would_repeat(*request, endpoint) && !may_repeat_at(*request, endpoint))
+    return Outcome::not_applicable;
   if (!nodes_.is_ready(endpoint))
     return Outcome::connect_failed;
   return std::nullopt;
--- a/src/core/router/attempt_runner.h
+++ b/src/core/router/attempt_runner.h
@@ -67,6 +67,7 @@
   enum class ClientAnswer { none, finish, fail_as_bad_request, abort_stream };
 
   [[nodiscard]] bool would_repeat(const RequestState& request, EndpointId endpoint) const;
+  [[nodiscard]] bool may_repeat_at(const RequestState& request, EndpointId endpoint) const;
   [[nodiscard]] std::optional<Outcome> reason_not_to_send(const RequestState* request, std::uint16_t number,
                                                           EndpointId endpoint, Micros now) const;
   void limit_idle_reservation(const RequestState& request, AttemptState& attempt);
--- a/src/core/router/node_registry.cpp
+++ b/src/core/router/node_registry.cpp
@@ -13,7 +13,7 @@
 // limit bounds the memory of a router whose nodes are replaced many times.
 constexpr std::size_t max_removed_names = 1024;
 
-// The Scheduler refers to zones and machine kinds by indexes of one byte. The index of a name that is not in
+// The Scheduler refers to zones and machine kinds by indexes of one byte. The index of a kind that is not in
 // the list is the size of the list.
 constexpr std::ptrdiff_t max_index = 255;
 
@@ -37,7 +37,11 @@
 
 NodeRegistry::NodeRegistry(const Settings& settings, std::vector<std::string> zones,
                            std::vector<std::string> kinds, const Clock& clock)
-    : settings_(settings), clock_(clock), zones_(std::move(zones)), kinds_(std::move(kinds)) {}
+    : settings_(settings),
+      clock_(clock),
+      configured_zone_count_(zones.size()),
+      zones_(std::move(zones)),
+      kinds_(std::move(kinds)) {}
 
 EndpointListUpdate NodeRegistry::update(EndpointListKind kind, std::uint32_t version,
                                         const std::vector<ListedNode>& listed) {
@@ -100,6 +104,7 @@
 
 EndpointListUpdate NodeRegistry::set_zones_and_kinds(std::vector<std::string> zones,
                                                      std::vector<std::string> kinds) {
+  configured_zone_count_ = zones.size();
   zones_ = std::move(zones);
   kinds_ = std::move(kinds);
   EndpointListUpdate update{EndpointListKind::full, list_version_, {}};
@@ -110,13 +115,35 @@
   return update;
 }
 
-void NodeRegistry::assign_zone_and_kind(Node& node) const {
-  const auto index = [](const std::vector<std::string>& names, const std::string& name) {
-    const auto found = std::find(names.begin(), names.end(), name);
-    return static_cast<std::uint8_t>(std::min(found - names.begin(), max_index));
-  };
-  node.endpoint.zone = index(zones_, node.zone);
-  node.endpoint.kind = index(kinds_, node.kind);
+void NodeRegistry::assign_zone_and_kind(Node& node) {
+  const auto kind = std::find(kinds_.begin(), kinds_.end(), node.kind);
+  node.endpoint.zone = zone_index(node.zone);
+  node.endpoint.kind = static_cast<std::uint8_t>(std::min(kind - kinds_.begin(), max_index));
+}
+
+// The Scheduler takes equal indexes for one zone, and repeats a request with a key within it. So each name
+// has an index of its own, whether or not the settings name the zone, and a node without a zone shares its
+// zone with none.
+std::uint8_t NodeRegistry::zone_index(const std::string& name) {
+  if (name.empty())
+    return unknown_zone;
+  auto found = std::find(zones_.begin(), zones_.end(), name);
+  if (found == zones_.end() && zones_.size() < unknown_zone)
+    found = zones_.insert(found, name);
+  if (found == zones_.end()) {
+    const auto listed_only =
+        zones_.begin() + static_cast<std::ptrdiff_t>(std::min(configured_zone_count_, zones_.size()));
+    found =
+        std::find_if(listed_only, zones_.end(), [this](const auto& zone) { return !is_zone_in_use(zone); });
+    if (found != zones_.end())
+      *found = name;
+  }
+  return static_cast<std::uint8_t>(std::min<std::ptrdiff_t>(found - zones_.begin(), unknown_zone));
+}
+
+bool NodeRegistry::is_zone_in_use(const std::string& name) const {
+  return std::any_of(known_nodes_.begin(), known_nodes_.end(),
+                     [&](const auto& known) { return known.second.zone == name; });
 }
 
 const Node* NodeRegistry::find(EndpointId id) const {
--- a/src/core/router/node_registry.h
+++ b/src/core/router/node_registry.h
@@ -20,11 +20,11 @@
 
 /// One endpoint of an endpoint list.
 struct ListedNode {
-  std::string name;        ///< identifies the node
-  std::string address;     ///< the address for the node transport; empty: unchanged since the previous list
-  std::string zone;        ///< name of the zone
-  std::string kind;        ///< name of the machine kind
-  std::uint16_t cell = 0;  ///< number of the cell that the node is in
+  std::string name;     ///< identifies the node
+  std::string address;  ///< the address for the node transport; empty: unchanged since the previous list
+  std::string zone;     ///< name of the zone; empty: unknown
+  std::string kind;     ///< name of the machine kind
+  std::uint16_t cell = unknown_cell;           ///< number of the cell that the node is in
   EndpointState state = EndpointState::ready;  ///< the state in the list
   float weight = 1;                            ///< the weight in the list; no decision uses it
   Micros started_at{};                         ///< start of the node's process; 0: long ago
@@ -130,12 +130,16 @@
   void store(const ListedNode& listed);
   void log_update(const EndpointListUpdate& update) const;
   void erase_removed();
-  void assign_zone_and_kind(Node& node) const;
+  void assign_zone_and_kind(Node& node);
+  [[nodiscard]] std::uint8_t zone_index(const std::string& name);
+  [[nodiscard]] bool is_zone_in_use(const std::string& name) const;
   bool apply_overlay(Node& node);
 
   const Settings& settings_;
   const Clock& clock_;
-  std::vector<std::string> zones_, kinds_;
+  std::size_t configured_zone_count_;
+  std::vector<std::string> zones_;  // the configured ones, then those that only the endpoint list names
+  std::vector<std::string> kinds_;
   std::map<EndpointId, Node> known_nodes_;
   std::unordered_map<std::string, EndpointId> endpoint_ids_;
   std::deque<std::string> removed_node_names_;  // the most recently removed at the back
--- a/src/core/router/request_state.h
+++ b/src/core/router/request_state.h
@@ -53,6 +53,7 @@
         endpoint(node.id),
         node(node.name),
         process_started_at(node.listed_start),
+        location(node.location()),
         role(role),
         sent_at(now) {}
 
@@ -73,6 +74,7 @@
   EndpointId endpoint;           ///< the node of the attempt
   std::string node;              ///< a copy of the node's name, valid also after the node has left the list
   Micros process_started_at;     ///< the start of the node's process, as listed when the attempt was sent
+  NodeLocation location;         ///< the node's zone and cell when the attempt was sent
   Role role;                     ///< the node's role when the attempt was sent
   Micros sent_at;                ///< when the attempt was started
   bool streaming = false;        ///< the first event of the answer has arrived
@@ -105,11 +107,15 @@
   Key shared_prefix_key = 0;        ///< key of the prefix that the prompt shares with others; 0: none
   double prompt_tokens = 0;         ///< length of the prompt, in tokens
   double shared_prefix_tokens = 0;  ///< length of the shared prefix, in tokens
-  std::shared_ptr<RequestCounts> counts;  ///< counters of the class that the request was accepted with
-  bool not_idempotent = false;            ///< requests of the class must not be executed twice
-  bool may_have_run = false;              ///< an attempt that could have answered may have been executed
-  Micros retry_window = Micros::max();    ///< how long after the sending of an attempt it may be repeated
-  Micros retry_deadline = Micros::max();  ///< end of the retry window; max() until an attempt may have run
+  std::shared_ptr<RequestCounts> counts;     ///< counters of the class that the request was accepted with
+  bool not_idempotent = false;               ///< requests of the class must not be executed twice
+  bool may_have_run = false;                 ///< an attempt that could have answered may have been executed
+  Micros retry_window = Micros::max();       ///< how long after the sending of an attempt it may be repeated
+  Micros retry_deadline = Micros::max();     ///< end of the retry window; max() until an attempt may have run
+  RetryScope retry_scope = RetryScope::all;  ///< which nodes may repeat an attempt that may have run
+  EndpointId first_run_endpoint = 0;         ///< the node of the first attempt that may have run; 0: none
+  std::optional<NodeLocation>
+      first_run_location;                 ///< where that node was; none until an attempt may have run
   std::unique_ptr<AttemptState> attempt;  ///< the attempt in progress, or null
   ReservationHolder reservation;          ///< the node of the last completed prefill
   bool has_reservation = false;           ///< whether that node holds the KV cache
--- a/src/core/router/submit.cpp
+++ b/src/core/router/submit.cpp
@@ -58,8 +58,10 @@
                             std::size_t class_index) {
   const ClassSettings& request_class = settings.classes[class_index];
   request.not_idempotent = request_class.idempotency == Idempotency::not_idempotent;
-  if (request_class.idempotency == Idempotency::idempotent_with_key)
+  if (request_class.idempotency == Idempotency::idempotent_with_key) {
     request.retry_window = request_class.retry_window;
+    request.retry_scope = request_class.retry_scope;
+  }
   request.session_key = client_request.session_key;
   request.shared_prefix_key = client_request.shared_prefix_key;
   request.prompt_tokens = client_request.prompt_tokens;
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -133,6 +133,25 @@
   virtual void on_transferred() {}
 };
 
+/// Where a node is, as far as the endpoint list states it.
+struct NodeLocation {
+  std::string zone;                   ///< name of the zone; empty: unknown
+  std::uint16_t cell = unknown_cell;  ///< number of the cell
+  /// Returns whether both locations are known to belong to one group of nodes, whose members detect each
+  /// other's repeats of a request.
+  [[nodiscard]] bool in_same_group(const NodeLocation& other, RetryScope scope) const {
+    switch (scope) {
+      case RetryScope::all:
+        return true;
+      case RetryScope::zone:
+        return !zone.empty() && zone == other.zone;
+      case RetryScope::cell:
+        return cell != unknown_cell && cell == other.cell;
+    }
+    return false;
+  }
+};
+
 /// The core's record of a node.
 struct Node {
   EndpointId id = 0;    ///< the number of the node within this router
@@ -148,6 +167,8 @@
   Micros cache_lost_at{};     ///< the last loss of its KV cache that other routers have reported; 0: none
   std::string load_report;    ///< the last load report, as the node sent it; empty: none
   Micros load_reported_at{};  ///< when that report arrived
+  /// Returns the node's zone and cell.
+  NodeLocation location() const { return {zone, endpoint.cell}; }
   /// Returns whether the node may receive new attempts.
   bool ready() const { return endpoint.state == EndpointState::ready; }
 };
--- a/src/discovery/list.cpp
+++ b/src/discovery/list.cpp
@@ -38,7 +38,7 @@
     net::SocketAddress{node.address};  // throws if it is none
   node.zone = said<std::string>(item, "zone", "");
   node.kind = said<std::string>(item, "machineType", "");
-  node.cell = said<std::uint16_t>(item, "cell", 0);
+  node.cell = said<std::uint16_t>(item, "cell", unknown_cell);
   node.weight = said(item, "weight", 1.0f);
   if (!std::isfinite(node.weight))
     throw ListError("a weight is no number");
--- a/src/expect/read/nodes.cpp
+++ b/src/expect/read/nodes.cpp
@@ -92,11 +92,12 @@
   }
 
   void add(const ScriptedNode& node, std::int64_t count) {
+    const std::int64_t first_cell = node.cell == unknown_cell ? 0 : node.cell;
     for (std::int64_t i = 1; i <= count; ++i) {
       ScriptedNode one = node;
       if (count > 1) {
         one.name += std::to_string(i);
-        one.cell = static_cast<std::uint16_t>(node.cell + (i - 1) / nodes_in_cell % cells_in_count);
+        one.cell = static_cast<std::uint16_t>(first_cell + (i - 1) / nodes_in_cell % cells_in_count);
       }
       nodes_.push_back(one);
     }
--- a/src/module/endpoint_filter.cpp
+++ b/src/module/endpoint_filter.cpp
@@ -2,6 +2,18 @@
 
 namespace lemonroute::decisions {
 
+namespace {
+
+bool in_same_zone(const Node& first_node, const Node& node) {
+  return first_node.zone() != unknown_zone && first_node.zone() == node.zone();
+}
+
+bool in_same_cell(const Node& first_node, const Node& node) {
+  return first_node.cell() != unknown_cell && first_node.cell() == node.cell();
+}
+
+}  // namespace
+
 bool EndpointFilter::may_repeat_at(const Node& node, const RequestState& request) const {
   if (!request.first_executed_attempt)
     return true;
@@ -18,8 +30,10 @@
   const Node* const first_node = nodes_.find(first.endpoint);
   if (!first_node)  // its zone and cell are unknown after its removal
     return false;
-  return terms.retry_scope == RetryScope::zone ? first_node->zone() == node.zone()
-                                               : first_node->cell() == node.cell();
+  if (node.id() == first_node->id())
+    return true;
+  return terms.retry_scope == RetryScope::zone ? in_same_zone(*first_node, node)
+                                               : in_same_cell(*first_node, node);
 }
 
 // The texts appear in explanations. Operators and expectation files match them.
--- a/src/rules/monitor.cpp
+++ b/src/rules/monitor.cpp
@@ -140,9 +140,11 @@
   if (now - one.ran->sent >= one.terms.window)
     breach(Rule::attempts, now, request, name,
            "sent again " + ms(now - one.ran->sent) + after + ", its window is " + ms(one.terms.window));
-  const bool same =
-      one.terms.group == RetryScope::all ||
-      (one.terms.group == RetryScope::zone ? one.ran->zone == node.zone : one.ran->cell == node.cell);
+  // A zone or cell that the list does not state is that of no other node.
+  const bool same_zone = !node.zone.empty() && one.ran->zone == node.zone;
+  const bool same_cell = node.cell != unknown_cell && one.ran->cell == node.cell;
+  const bool same = one.terms.group == RetryScope::all || one.ran->node == name ||
+                    (one.terms.group == RetryScope::zone ? same_zone : same_cell);
   if (!same)
     breach(Rule::attempts, now, request, name, "sent again outside the group" + after);
 }
--- a/tests/deployments/silence_test.cpp
+++ b/tests/deployments/silence_test.cpp
@@ -99,7 +99,7 @@
         parse_list_text(std::string(R"({"generation":1,"reset":true,"instances":[)") + entry + "]}")
             .nodes.at(0);
     EXPECT_EQ(std::tuple(node.zone, node.cell, node.weight, node.started_at),
-              std::tuple(std::string(), 0, 1.0f, Micros(0)));
+              std::tuple(std::string(), unknown_cell, 1.0f, Micros(0)));
   }
 }
 
