Review: a link of the stand-ins that was closed counts as ended

Cause: a stand-in that closes its own connection went on waiting for a request on it. Change: Link::close marks the link as ended. No case uses it so far.

--- a/review/stand-2/stand.h
+++ b/review/stand-2/stand.h
@@ -140,6 +140,7 @@
   void close() {
     if (fd_ >= 0)
       ::close(std::exchange(fd_, -1));
+    ended_ = true;
   }
   bool send(const std::string& text) {
     std::size_t at = 0;
