Build with -Werror on arm64: dates of a calendar are not read by date::parse

Change: parse_day reads YYYY-MM-DD itself and has the library check the date. No warning or check is switched off.

--- a/src/pools/calendar/time_zone.cpp
+++ b/src/pools/calendar/time_zone.cpp
@@ -2,8 +2,9 @@
 
 #include <date/tz.h>
 
-#include <sstream>
+#include <charconv>
 #include <stdexcept>
+#include <string_view>
 
 namespace lemonroute::pools {
 
@@ -17,13 +18,24 @@
 }
 }  // namespace
 
+// Not by date::parse: the compiler of arm64 warns of the library's reader, and CI takes warnings for errors.
 std::int32_t parse_day(const std::string& text) {
-  std::istringstream in(text);
-  date::sys_days day;
-  in >> date::parse("%F", day);
-  if (in.fail() || text.size() != 10 || in.peek() != std::istringstream::traits_type::eof())
+  const std::string_view digits = "0123456789";
+  const auto number = [&](std::size_t from, std::size_t size) {
+    const std::string_view part = std::string_view(text).substr(from, size);
+    int value = -1;
+    if (part.find_first_not_of(digits) == std::string_view::npos)
+      std::from_chars(part.data(), part.data() + part.size(), value);
+    return value;
+  };
+  if (text.size() != 10 || text[4] != '-' || text[7] != '-')
     return -1;
-  return static_cast<std::int32_t>(day.time_since_epoch().count());
+  const int year = number(0, 4), month = number(5, 2), day = number(8, 2);
+  if (year < 0 || month < 0 || day < 0)
+    return -1;
+  const date::year_month_day parsed(date::year(year), date::month(static_cast<unsigned>(month)),
+                                    date::day(static_cast<unsigned>(day)));
+  return parsed.ok() ? static_cast<std::int32_t>(date::sys_days(parsed).time_since_epoch().count()) : -1;
 }
 
 std::string format_day(std::int32_t day) {
