Send the end of an answer before its connection is closed as idle

Cause: ClientConnection::complete reported a connection as idle as soon as the end of its answer had been given to the bufferevent, which sends it in the loop's next round. Front::hand_over, in the same round, closed it: half_close shut the socket with the end unsent. The end of the shutdown window, the idle time and Admission's dismissals did the same to slow readers. Change: a connection is idle once its answer has left; until then the client has the time that it has for any part of an answer. half_close sends what is unsent before it ends the connection. Evidence: HttpFrontEnds.SendsTheEndOfAnAnswerBeforeItClosesTheConnection gives the end to the front and ends the front before the loop runs again. It failed for all three endings before and passes now. The whole suite was not run yet.

--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -30,8 +30,10 @@
   bool between_requests() { return state_ == State::head && connection_.silent(); }
   bool at_rest() { return asked_ && between_requests(); }
   void dismiss() override;
-  void half_close();  // what the peer sends from now on is never looked at
-  void close();       // at once, with whatever it holds
+  // Ends the connection once all that was answered has left. What the peer sends from now on is never looked
+  // at.
+  void half_close();
+  void close();  // at once, with whatever it holds
 
  private:
   enum class State { head, body, waiting, streaming, ending, lingering, half_closed, closed };
@@ -61,6 +63,7 @@
   void answer(int status, std::string_view field = {});
   void answer_and_close(int status);
   void complete(bool closes);
+  void rest();
   void begin_ending(Micros within);
   void finish_ending();
   bool leaves_on();
--- a/src/http/client_ending.cpp
+++ b/src/http/client_ending.cpp
@@ -69,6 +69,9 @@
 }
 
 void ClientConnection::half_close() {
+  const bool answer_unsent = state_ == State::head && connection_.unsent() > 0;
+  if (answer_unsent)
+    return begin_ending(front_.options_.sending);
   state_ = State::half_closed;
   connection_.end_sending();
   connection_.leave_unread();
