Keep the ids of open requests unique over the processes of an upgrade

Cause: RequestTable knew the ids of its own process only. Two processes serve beside each other from the new one's readiness to the old one's end, before SIGTERM too, and while a stream is on its way neither holds it. Change: ClientIds claims the id of each open request in Router::submit, for every front. Where another process can run, the claim is a lock on one byte of a file in $TMPDIR (ops::FileRequestIdLocks): decided by the kernel, dropped with the process, and no answer is needed of a process that is held up. A stream takes a descriptor along that keeps its lock until the receiver has its own; an older receiver passes it over. ops::Handover closes what it received by RAII.

--- a/src/base/lock_file.cpp
+++ b/src/base/lock_file.cpp
@@ -5,6 +5,7 @@
 
 #include <cerrno>
 #include <cstring>
+#include <utility>
 
 #include "base/log.h"
 
@@ -12,7 +13,7 @@
 namespace {
 
 // Locks of the open file and not of the process, which would lose them with any other descriptor it closes.
-struct flock lock_on(int byte, short type) {
+struct flock lock_on(LockFile::Offset byte, short type) {
   struct flock lock {};
   lock.l_type = type;
   lock.l_whence = SEEK_SET;
@@ -33,21 +34,25 @@
     close(fd_);
 }
 
-bool LockFile::set(int byte, short type) {
+bool LockFile::set(Offset byte, short type) {
   struct flock lock = lock_on(byte, type);
   return fd_ >= 0 && fcntl(fd_, F_OFD_SETLK, &lock) == 0;
 }
-bool LockFile::take(int byte) {
+bool LockFile::take(Offset byte) {
   return set(byte, F_WRLCK);
 }
-bool LockFile::share(int byte) {
+bool LockFile::share(Offset byte) {
   return set(byte, F_RDLCK);
 }
-void LockFile::drop(int byte) {
+void LockFile::drop(Offset byte) {
   set(byte, F_UNLCK);
 }
 
-bool LockFile::others(int byte) const {
+int LockFile::release_descriptor() {
+  return std::exchange(fd_, -1);
+}
+
+bool LockFile::others(Offset byte) const {
   struct flock lock = lock_on(byte, F_WRLCK);
   return fd_ >= 0 && fcntl(fd_, F_OFD_GETLK, &lock) == 0 && lock.l_type != F_UNLCK;
 }
--- a/src/base/lock_file.h
+++ b/src/base/lock_file.h
@@ -2,6 +2,7 @@
 // however.
 #pragma once
 
+#include <cstdint>
 #include <string>
 
 namespace lemonroute {
@@ -15,13 +16,16 @@
   LockFile& operator=(const LockFile&) = delete;
 
   bool usable() const { return fd_ >= 0; }
-  bool take(int byte);   // alone; does not wait
-  bool share(int byte);  // with others that share it
-  void drop(int byte);
-  bool others(int byte) const;  // whether somebody else holds it, either way
+  using Offset = std::int64_t;  // of a byte, which need not exist
+  bool take(Offset byte);       // alone; does not wait
+  bool share(Offset byte);      // with others that share it
+  void drop(Offset byte);
+  bool others(Offset byte) const;  // whether somebody else holds it, either way
+  // The descriptor is the caller's from then on, and the locks last until its last copy is closed.
+  int release_descriptor();
 
  private:
-  bool set(int byte, short type);
+  bool set(Offset byte, short type);
   int fd_;
 };
 
--- a/src/cli/program.cpp
+++ b/src/cli/program.cpp
@@ -1,5 +1,7 @@
 #include "cli/program.h"
 
+#include <unistd.h>
+
 #include <optional>
 
 #include "base/log.h"
@@ -12,6 +14,7 @@
 #include "ops/health_service.h"
 #include "ops/management.h"
 #include "ops/processes.h"
+#include "ops/request_id_locks.h"
 
 namespace lemonroute::cli {
 namespace {
@@ -58,6 +61,8 @@
         loop_(loop),
         clock_(settings.peers ? settings.peers->clock_offset : Micros(0)),
         processes_(ops::shared_folder(), platform.name, platform.listen),
+        id_locks_(platform.socket ? std::make_unique<ops::FileRequestIdLocks>(processes_.file(".ids"))
+                                  : nullptr),
         nodes_(make_nodes(loop_, platform, settings.grpc_nodes)),
         router_(platform.settings, platform.zones, platform.kinds, platform.seed, clock_, *nodes_),
         watch_(first_list(loop_, platform, router_)),
@@ -72,6 +77,7 @@
         interrupt_(loop_, SIGINT, [this] { drain("SIGINT"); }),
         hang_up_(loop_, SIGHUP, [this] { reload(); }) {
     say_unused(platform);
+    router_.set_request_id_locks(id_locks_.get());
     loop_.reserve().keep(net::Reserve::usual);
     loop_.memory().set_limit(client_memory(platform, parts()));
     if (!settings.grpc_listen.empty()) {
@@ -188,11 +194,16 @@
   }
   // A stream may outlast this process's time; each is given away once it stands between two events.
   void pass_streams() {
-    router_.transfer_streams([path = processes_.file(".streams")](const TransferredStream& stream) {
-      return ops::Handover::send(path, stream);
-    });
+    router_.transfer_streams([this](const TransferredStream& stream) { return pass_stream(stream); });
     pass_.start(pass_again);
   }
+  bool pass_stream(const TransferredStream& stream) {
+    const int id_lock = id_locks_ ? id_locks_->extend(stream.id) : -1;
+    const bool sent = ops::Handover::send(processes_.file(".streams"), stream, id_lock);
+    if (id_lock >= 0)
+      close(id_lock);
+    return sent;
+  }
   // What the other process of this router, if there is one, has changed. Both together must stay within the
   // limits of one, so each has half of the places while two run.
   void look() {
@@ -268,6 +279,7 @@
   net::Loop& loop_;
   const SystemClock clock_;
   ops::Processes processes_;
+  std::unique_ptr<ops::FileRequestIdLocks> id_locks_;  // none where no other process can run beside this one
   std::unique_ptr<NodeTransport> nodes_;
   Router router_;
   std::unique_ptr<discovery::Watch> watch_;  // none where the nodes are fixed
--- a/src/core/router.h
+++ b/src/core/router.h
@@ -80,7 +80,7 @@
   enum class SubmitResult {
     accepted,       ///< the request is open and the client will receive an answer
     unknown_class,  ///< the settings have no class of that name
-    duplicate_id,   ///< another request with the same client id is open
+    duplicate_id,   ///< a request with the same client id is open, here or at another process of this router
     shutting_down,  ///< the process ends too soon for this request; its client may send it elsewhere
   };
   /// Accepts a request. Unless the result is SubmitResult::accepted, nothing is kept and `client` is never
@@ -97,6 +97,9 @@
 
   // ---- for another process of this router ----
 
+  /// Sets the locks that keep the client ids of open requests unique over all processes of this router; null:
+  /// none. They must outlive the Router. Call it before the first request.
+  void set_request_id_locks(RequestIdLocks* locks);
   /// Passes each stream that is between two events to `transfer`, which returns whether it has sent the
   /// stream to the other process. The transfer stops at the first false; the remaining streams stay in this
   /// process.
--- a/src/core/router/action_executor.cpp
+++ b/src/core/router/action_executor.cpp
@@ -13,6 +13,7 @@
     : context_(context),
       scheduler_(dependencies.scheduler),
       requests_(dependencies.requests),
+      client_ids_(dependencies.client_ids),
       nodes_(dependencies.nodes),
       releaser_(dependencies.releaser),
       attempts_(dependencies.attempts),
@@ -53,8 +54,10 @@
       continue;
     if (!request->orphaned_reservations.empty())
       releaser_.release_orphaned(*request);
-    if (!request->client)
-      requests_.erase(id);
+    if (request->client)
+      continue;
+    client_ids_.release(request->prompt.id);
+    requests_.erase(id);
   }
 }
 
--- a/src/core/router/action_executor.h
+++ b/src/core/router/action_executor.h
@@ -9,6 +9,7 @@
 #include <memory>
 
 #include "core/router/attempt_runner.h"
+#include "core/router/client_ids.h"
 #include "core/router/event_dispatcher.h"
 #include "core/router/node_registry.h"
 #include "core/router/observer_reporter.h"
@@ -35,6 +36,7 @@
   struct Dependencies {
     Scheduler& scheduler;           ///< decides on the actions
     RequestTable& requests;         ///< the open requests
+    ClientIds& client_ids;          ///< the ids that clients gave them
     NodeRegistry& nodes;            ///< the nodes that actions name
     ReservationReleaser& releaser;  ///< executes ReleaseReservation
     AttemptRunner& attempts;        ///< executes Send and CancelAttempt
@@ -71,6 +73,7 @@
   const RouterContext& context_;
   Scheduler& scheduler_;
   RequestTable& requests_;
+  ClientIds& client_ids_;
   NodeRegistry& nodes_;
   ReservationReleaser& releaser_;
   AttemptRunner& attempts_;
--- a/src/core/router/process_handover.cpp
+++ b/src/core/router/process_handover.cpp
@@ -10,6 +10,7 @@
 ProcessHandover::ProcessHandover(const RouterContext& context, Dependencies dependencies)
     : context_(context),
       requests_(dependencies.requests),
+      client_ids_(dependencies.client_ids),
       nodes_(dependencies.nodes),
       attempts_(dependencies.attempts),
       events_(dependencies.events),
@@ -62,7 +63,7 @@
 
 // The Scheduler is not informed of an adopted stream, since no decision about it remains.
 bool ProcessHandover::adopt_stream(const TransferredStream& stream, Client& client, RequestId& id) {
-  if (requests_.has_client_id(stream.id))
+  if (!client_ids_.claim_transferred(stream.id))
     return false;
   Node node;
   node.name = stream.node;
@@ -77,6 +78,7 @@
   id = request.id;
   if (!attempts_.adopt(request, stream, node)) {
     requests_.close_client(request);
+    client_ids_.release(stream.id);
     requests_.erase(id);
     return false;
   }
--- a/src/core/router/process_handover.h
+++ b/src/core/router/process_handover.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "core/router/attempt_runner.h"
+#include "core/router/client_ids.h"
 #include "core/router/event_dispatcher.h"
 #include "core/router/node_registry.h"
 #include "core/router/request_table.h"
@@ -21,6 +22,7 @@
   /// The objects that a handover reads and changes. All of them must outlive the ProcessHandover.
   struct Dependencies {
     RequestTable& requests;   ///< the open requests, with their streams
+    ClientIds& client_ids;    ///< the ids that clients gave them
     NodeRegistry& nodes;      ///< the nodes and their load reports
     AttemptRunner& attempts;  ///< continues adopted streams
     EventDispatcher& events;  ///< receives the ends of transferred streams, and imported load reports
@@ -55,6 +57,7 @@
 
   const RouterContext& context_;
   RequestTable& requests_;
+  ClientIds& client_ids_;
   NodeRegistry& nodes_;
   AttemptRunner& attempts_;
   EventDispatcher& events_;
--- a/src/core/router/request_table.cpp
+++ b/src/core/router/request_table.cpp
@@ -22,15 +22,10 @@
   return found == requests_.end() ? nullptr : found->second.get();
 }
 
-bool RequestTable::has_client_id(const std::string& client_id) const {
-  return requests_by_client_id_.count(client_id) > 0;
-}
-
 RequestState& RequestTable::add(const Prompt& prompt, Client& client, FixedRequestSettings fixed_settings) {
   RequestId id = hash_text(prompt.id) & request_id_mask;
   while (requests_.count(id))
     id = (id + 1) & request_id_mask;
-  requests_by_client_id_[prompt.id] = id;
   auto request = std::make_unique<RequestState>();
   request->id = id;
   request->prompt = prompt;
@@ -60,11 +55,7 @@
 }
 
 void RequestTable::erase(RequestId id) {
-  const auto found = requests_.find(id);
-  if (found == requests_.end())
-    return;
-  requests_by_client_id_.erase(found->second->prompt.id);
-  requests_.erase(found);
+  requests_.erase(id);
 }
 
 std::vector<RequestId> RequestTable::take_cleanup_candidates() {
--- a/src/core/router/request_table.h
+++ b/src/core/router/request_table.h
@@ -22,7 +22,7 @@
 };
 
 /// Owns the open requests: those that are not answered, and those whose attempt is still in progress. Finds
-/// them by the router's id and by the client's id, and sets their deadlines.
+/// them by the router's id, and sets their deadlines.
 class RequestTable {
  public:
   /// The open requests by the router's id.
@@ -32,8 +32,6 @@
   [[nodiscard]] RequestState* find(RequestId id);
   /// Returns the request, or null if it is not open.
   [[nodiscard]] const RequestState* find(RequestId id) const;
-  /// Returns whether a request with this client id is open.
-  [[nodiscard]] bool has_client_id(const std::string& client_id) const;
   /// Returns all open requests.
   [[nodiscard]] const Requests& all() const { return requests_; }
   /// Returns whether no request is open.
@@ -41,8 +39,8 @@
   /// Returns the number of requests whose client has not received the end of its answer.
   [[nodiscard]] std::size_t waiting_clients() const { return waiting_clients_; }
 
-  /// Adds a request. No request with the same client id may be open. The table owns the request until erase;
-  /// `client` must live until close_client.
+  /// Adds a request. ClientIds ensures that no other has its client id. The table owns the request until
+  /// erase; `client` must live until close_client.
   RequestState& add(const Prompt& prompt, Client& client, FixedRequestSettings fixed_settings);
   /// Sets the request's deadline to `deadline` or to the shutdown deadline, whichever is earlier.
   void set_deadline(RequestState& request, Micros deadline);
@@ -61,7 +59,6 @@
 
  private:
   Requests requests_;
-  std::unordered_map<std::string, RequestId> requests_by_client_id_;
   std::vector<RequestId> cleanup_candidates_;
   std::size_t waiting_clients_ = 0;
   std::optional<Micros> shutdown_deadline_;
--- a/src/core/router/router.cpp
+++ b/src/core/router/router.cpp
@@ -21,8 +21,8 @@
       events(*this, context.notify_change),
       reporter(context, nodes, requests),
       attempts(context, {requests, nodes, releaser, events, reporter}),
-      actions(context, {scheduler, requests, nodes, releaser, attempts, events, reporter}),
-      handover(context, {requests, nodes, attempts, events, scheduler, metrics}) {
+      actions(context, {scheduler, requests, client_ids, nodes, releaser, attempts, events, reporter}),
+      handover(context, {requests, client_ids, nodes, attempts, events, scheduler, metrics}) {
   metrics.set_classes(settings.classes);
 }
 
@@ -122,6 +122,10 @@
   impl_->reporter.set_observer(observer);
 }
 
+void Router::set_request_id_locks(RequestIdLocks* locks) {
+  impl_->client_ids.set_locks(locks);
+}
+
 void Router::transfer_streams(const std::function<bool(const TransferredStream&)>& transfer) {
   impl_->handover.transfer_streams(transfer);
 }
--- a/src/core/router/router_impl.h
+++ b/src/core/router/router_impl.h
@@ -9,6 +9,7 @@
 #include "core/router.h"
 #include "core/router/action_executor.h"
 #include "core/router/attempt_runner.h"
+#include "core/router/client_ids.h"
 #include "core/router/event_dispatcher.h"
 #include "core/router/node_registry.h"
 #include "core/router/observer_reporter.h"
@@ -48,6 +49,7 @@
   RequestMetrics metrics;                     ///< counts requests by class
   NodeRegistry nodes;                         ///< the nodes that this router knows
   RequestTable requests;                      ///< the open requests
+  ClientIds client_ids;                       ///< the ids that clients gave them
   ReservationReleaser releaser;               ///< releases reservations at nodes
   EventDispatcher events;                     ///< the queue of events
   ObserverReporter reporter;                  ///< reports to the NodeObserver
--- a/src/core/router/submit.cpp
+++ b/src/core/router/submit.cpp
@@ -28,16 +28,15 @@
 
 }  // namespace
 
-// Nodes identify a request by the client's id. Two open requests with the same client id would lead to two
-// attempts that nodes cannot distinguish.
 Router::SubmitResult Router::submit(const ClientRequest& client_request, Client& client, RequestId& id) {
   const Settings& settings = impl_->settings;
   const std::size_t class_index = index_by_name(settings.classes, client_request.request_class);
   if (class_index >= settings.classes.size())
     return SubmitResult::unknown_class;
-  if (impl_->requests.has_client_id(client_request.prompt.id))
+  if (!impl_->client_ids.claim(client_request.prompt.id))
     return SubmitResult::duplicate_id;
   if (impl_->is_shutting_down()) {
+    impl_->client_ids.release(client_request.prompt.id);
     ++impl_->metrics.counts_of(client_request.request_class)->rejected;
     logging::debug() << "request rejected: request=" << client_request.prompt.id << " reason=shutdown";
     return SubmitResult::shutting_down;
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -108,6 +108,18 @@
   std::vector<std::pair<Role, double>> prefill_times_per_token;  ///< as in LearnedRates
 };
 
+/// Locks on the ids of open requests that exclude the other processes of this router. No function blocks.
+class RequestIdLocks {
+ public:
+  virtual ~RequestIdLocks() = default;
+  /// Locks the id of a request that was just received. Returns false if another process has locked it.
+  [[nodiscard]] virtual bool lock(const std::string& id) = 0;
+  /// Locks the id of a stream that another process transfers and has locked itself.
+  virtual void lock_transferred(const std::string& id) = 0;
+  /// Releases this process's lock on the id.
+  virtual void unlock(const std::string& id) = 0;
+};
+
 /// The client of one request. A front implements it and owns it. Exactly one of finish, reject, fail and
 /// abort_stream ends the answer. After that call, after on_transferred, and after
 /// Router::client_disconnected, the core calls no function any more. No function may call
--- a/src/ops/handover.cpp
+++ b/src/ops/handover.cpp
@@ -18,7 +18,10 @@
 namespace {
 
 constexpr std::size_t most_text = 4096;
-using Descriptors = std::array<int, 2>;  // the client's and the node's
+// The sockets of the client and the node, and what keeps the stream's id locked.
+enum DescriptorIndex : std::size_t { client_socket, node_socket, id_lock_file, descriptor_count };
+using Descriptors = std::array<int, descriptor_count>;
+constexpr Descriptors no_descriptors{-1, -1, -1};
 
 bool address_of(const std::string& path, sockaddr_un& address) {
   address.sun_family = AF_UNIX;
@@ -28,7 +31,31 @@
   return true;
 }
 
-// A message of text and the two descriptors, for sending or receiving.
+// Descriptors that came with a message. Those that nobody has taken are closed.
+class ReceivedDescriptors {
+ public:
+  // A process short of descriptors gets only the first ones.
+  explicit ReceivedDescriptors(const msghdr& header) {
+    const cmsghdr* control = CMSG_FIRSTHDR(&header);
+    if (control && control->cmsg_type == SCM_RIGHTS)
+      std::memcpy(all_.data(), CMSG_DATA(control), std::min(control->cmsg_len - CMSG_LEN(0), sizeof all_));
+  }
+  ~ReceivedDescriptors() {
+    for (const int fd : all_)
+      if (fd >= 0)
+        close(fd);
+  }
+  ReceivedDescriptors(const ReceivedDescriptors&) = delete;
+  ReceivedDescriptors& operator=(const ReceivedDescriptors&) = delete;
+
+  bool has_sockets() const { return all_[client_socket] >= 0 && all_[node_socket] >= 0; }
+  int take(DescriptorIndex index) { return std::exchange(all_[index], -1); }
+
+ private:
+  Descriptors all_ = no_descriptors;
+};
+
+// A message of text and descriptors, for sending or receiving.
 struct Message {
   Message(char* text, std::size_t size) : part{text, size} {
     header.msg_iov = &part;
@@ -45,7 +72,7 @@
   return all.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
-bool post(const std::string& path, std::string text, const Descriptors* both) {
+bool post(const std::string& path, std::string text, const Descriptors& descriptors) {
   sockaddr_un address{};
   if (text.size() > most_text || !address_of(path, address))
     return false;
@@ -55,12 +82,15 @@
   Message message(text.data(), text.size());
   message.header.msg_name = &address;
   message.header.msg_namelen = sizeof address;
-  if (both) {
+  const auto first_missing = std::find(descriptors.begin(), descriptors.end(), -1);
+  const auto size = static_cast<std::size_t>(first_missing - descriptors.begin()) * sizeof(int);
+  if (size > 0) {
     cmsghdr* control = CMSG_FIRSTHDR(&message.header);
     control->cmsg_level = SOL_SOCKET;
     control->cmsg_type = SCM_RIGHTS;
-    control->cmsg_len = CMSG_LEN(sizeof(Descriptors));
-    std::memcpy(CMSG_DATA(control), both->data(), sizeof *both);
+    control->cmsg_len = CMSG_LEN(size);
+    std::memcpy(CMSG_DATA(control), descriptors.data(), size);
+    message.header.msg_controllen = CMSG_SPACE(size);
   } else {
     message.header.msg_control = nullptr;
     message.header.msg_controllen = 0;
@@ -70,6 +100,29 @@
   return sent;
 }
 
+HandoverState state_of(const nlohmann::json& all) {
+  HandoverState state;
+  for (const auto& one : all.at("read_rates"))
+    state.prefill_times_per_token.emplace_back(static_cast<Role>(one.at(0).get<int>()),
+                                               one.at(1).get<double>());
+  for (const auto& one : all.at("nodes"))
+    state.nodes.push_back({one.at("node"), one.at("load"), Micros(one.at("age_us").get<Micros::rep>()),
+                           one.at("avoided"), one.at("sent")});
+  return state;
+}
+
+// Without its connections.
+TransferredStream stream_of(const nlohmann::json& all) {
+  TransferredStream stream;
+  stream.id = all.at("id");
+  stream.request_class = all.at("kind");
+  stream.node = all.at("node");
+  stream.attempt = all.at("attempt");
+  stream.client.close_after_response = all.at("client");
+  stream.call.close_after_response = all.at("call");
+  return stream;
+}
+
 }  // namespace
 
 Handover::Handover(net::Loop& loop, const std::string& path, Taken taken, Told told)
@@ -96,15 +149,14 @@
     close(fd_);
 }
 
-bool Handover::send(const std::string& path, const TransferredStream& stream) {
+bool Handover::send(const std::string& path, const TransferredStream& stream, int id_lock) {
   const nlohmann::json all{{"id", stream.id},
                            {"kind", stream.request_class},
                            {"node", stream.node},
                            {"attempt", stream.attempt},
                            {"client", stream.client.close_after_response},
                            {"call", stream.call.close_after_response}};
-  const Descriptors both{stream.client.fd, stream.call.fd};
-  return post(path, text_of(all), &both);
+  return post(path, text_of(all), {stream.client.fd, stream.call.fd, id_lock});
 }
 
 void Handover::tell(const std::string& path, const HandoverState& handover_state) {
@@ -114,7 +166,7 @@
   const std::string begins = R"({"read_rates":)" + text_of(rates) + R"(,"nodes":[)", ends = "]}";
   std::string list;
   const auto flush = [&] {
-    post(path, begins + list + ends, nullptr);
+    post(path, begins + list + ends, no_descriptors);
     list.clear();
   };
   for (const auto& one : handover_state.nodes) {
@@ -147,40 +199,21 @@
   const ssize_t size = recvmsg(fd_, &message.header, MSG_CMSG_CLOEXEC);
   if (size <= 0)
     return false;
-  Descriptors both{-1, -1};
-  const cmsghdr* control = CMSG_FIRSTHDR(&message.header);
-  // Guards against a process short of descriptors, which gets only the first of them: that one is closed
-  // again.
-  if (control && control->cmsg_type == SCM_RIGHTS)
-    std::memcpy(both.data(), CMSG_DATA(control), std::min(control->cmsg_len - CMSG_LEN(0), sizeof both));
+  ReceivedDescriptors descriptors(message.header);
   try {
     const auto all = nlohmann::json::parse(std::string_view(text, static_cast<std::size_t>(size)));
-    if (const auto nodes = all.find("nodes"); nodes != all.end()) {
-      HandoverState handover_state;
-      for (const auto& one : all.at("read_rates"))
-        handover_state.prefill_times_per_token.emplace_back(static_cast<Role>(one.at(0).get<int>()),
-                                                            one.at(1).get<double>());
-      for (const auto& one : *nodes)
-        handover_state.nodes.push_back({one.at("node"), one.at("load"),
-                                        Micros(one.at("age_us").get<Micros::rep>()), one.at("avoided"),
-                                        one.at("sent")});
-      for (int& fd : both)  // such a message brings none; whatever came along is closed, once
-        if (fd >= 0)
-          close(std::exchange(fd, -1));
-      told_(handover_state);
+    if (all.contains("nodes")) {
+      told_(state_of(all));
       return true;
     }
-    if (both[1] < 0)
+    if (!descriptors.has_sockets())
       throw std::runtime_error("it brings no connections");
-    TransferredStream stream{all.at("id"), all.at("kind"), all.at("node"), all.at("attempt"), {}, {}};
-    stream.client = {both[0], all.at("client").get<bool>()};
-    stream.call = {both[1], all.at("call").get<bool>()};
+    TransferredStream stream = stream_of(all);
+    stream.client.fd = descriptors.take(client_socket);
+    stream.call.fd = descriptors.take(node_socket);
     taken_(stream);
   } catch (const std::exception& error) {
     logging::error() << "a stream of the other process can't be taken over: " << error.what();
-    for (const int fd : both)
-      if (fd >= 0)
-        close(fd);
   }
   return true;
 }
--- a/src/ops/handover.h
+++ b/src/ops/handover.h
@@ -26,8 +26,9 @@
   void finish();
 
   // Sends a stream to whoever receives at `path`; false: nobody does, or not now. Its descriptors stay open
-  // here.
-  static bool send(const std::string& path, const TransferredStream& stream);
+  // here. `id_lock`, unless it is -1, is a descriptor that keeps the stream's id locked; the receiver closes
+  // its copy once the stream has been taken.
+  static bool send(const std::string& path, const TransferredStream& stream, int id_lock = -1);
   // Tells what is known of the nodes, in as many messages as it takes; what can't be sent is left out.
   static void tell(const std::string& path, const HandoverState& handover_state);
 
--- a/tests/core/request_table_test.cpp
+++ b/tests/core/request_table_test.cpp
@@ -26,10 +26,9 @@
   RequestTable table;
 };
 
-TEST_F(RequestTableTest, FindsAnOpenRequestByBothIds) {
+TEST_F(RequestTableTest, FindsAnOpenRequest) {
   RequestState& request = add("q");
   EXPECT_EQ(table.find(request.id), &request);
-  EXPECT_TRUE(table.has_client_id("q"));
   EXPECT_EQ(request.max_attempts, 3u);
   EXPECT_EQ(request.request_class, "class");
 }
@@ -41,11 +40,10 @@
   EXPECT_NE(table.find(taken), &request);
 }
 
-TEST_F(RequestTableTest, EraseRemovesBothIds) {
+TEST_F(RequestTableTest, EraseRemovesTheRequest) {
   const RequestId id = add("q").id;
   table.erase(id);
   EXPECT_EQ(table.find(id), nullptr);
-  EXPECT_FALSE(table.has_client_id("q"));
   EXPECT_TRUE(table.empty());
 }
 
--- a/tests/crossings/process/handover_test.cpp
+++ b/tests/crossings/process/handover_test.cpp
@@ -7,8 +7,10 @@
 #include <unistd.h>
 
 #include <filesystem>
+#include <optional>
 
 #include "crossings/process/bed.h"
+#include "ops/request_id_locks.h"
 
 namespace lemonroute::crossings {
 namespace {
@@ -165,6 +167,68 @@
   }
 }
 
+// Two processes share the clients' socket, and a request is open at one of them: the id is open at both.
+struct OpenId : HandOver {
+  // A client's request waits for its first event at the old process.
+  void begin_waiting() {
+    waiting = Socket::connect(door.port());
+    waiting.send(request("waits"));
+    waiting_at_node = next_at_node();
+  }
+  // Lets the new process alone accept a client.
+  Socket connect_to_new_one() {
+    beside = nullptr;
+    Socket made = Socket::connect(door.port());
+    run(20ms);
+    beside = &old_loop;
+    return made;
+  }
+  void expect_rejected(Socket& bad) {
+    EXPECT_TRUE(until([&] { return bad.has("HTTP/1.1 "); }));
+    EXPECT_TRUE(bad.has("HTTP/1.1 400")) << bad.text();
+    EXPECT_FALSE(node.accept().open());
+  }
+  void expect_waiting_served() {
+    waiting_at_node.send(stream_head + stream_event("whole") + stream_end);
+    EXPECT_TRUE(until([&] { return waiting.has("0\r\n\r\n"); })) << waiting.text();
+    EXPECT_EQ(waiting.count("data: whole"), 1u);
+  }
+
+  Socket waiting, waiting_at_node;
+};
+
+// Guards against running a request at the new process while its id is open at the old one.
+TEST_F(OpenId, IsRejectedByTheNewProcessAfterTheOrder) {
+  begin_waiting();
+  begin_new_one();
+  old_one->drain();
+  Socket bad = Socket::connect(door.port());
+  bad.send(request("waits"));
+  expect_rejected(bad);
+  expect_waiting_served();
+}
+
+// Guards against the same before the order, while both take clients.
+TEST_F(OpenId, IsRejectedByTheNewProcessBeforeTheOrder) {
+  begin_waiting();
+  begin_new_one();
+  Socket bad = connect_to_new_one();
+  bad.send(request("waits"));
+  expect_rejected(bad);
+  expect_waiting_served();
+}
+
+// Guards against a stream that is cut at the new process because its id was reused while it was on its way.
+TEST_F(OpenId, IsRejectedWhileItsStreamIsOnItsWay) {
+  begin_new_one();
+  Socket bad = connect_to_new_one();
+  bad.send(request("stream"));
+  old_one->drain();
+  end_old_one();
+  expect_rejected(bad);
+  expect_end();
+}
+
 // Killed with the stream on its way: the old process makes no difference, the new one cuts it.
 TEST_F(HandOver, TheOldProcessIsKilledWithAStreamOnItsWay) {
   begin_new_one();
@@ -210,5 +274,48 @@
   unlink(path.c_str());
 }
 
+// Two processes' locks on the ids of open requests.
+struct IdLocks : ::testing::Test {
+  ~IdLocks() override { unlink(path.c_str()); }
+  std::string path = "crossings." + std::to_string(getpid()) + ".ids";
+  std::optional<ops::FileRequestIdLocks> old_one{path};
+  ops::FileRequestIdLocks new_one{path};
+};
+
+TEST_F(IdLocks, ExcludeTheOtherProcess) {
+  EXPECT_TRUE(old_one->lock("q"));
+  EXPECT_FALSE(new_one.lock("q"));
+  EXPECT_TRUE(new_one.lock("other"));
+  old_one->unlock("q");
+  EXPECT_TRUE(new_one.lock("q"));
+}
+
+TEST_F(IdLocks, EndWithTheirProcess) {
+  EXPECT_TRUE(old_one->lock("q"));
+  old_one.reset();
+  EXPECT_TRUE(new_one.lock("q"));
+}
+
+// The sender has ended before the receiver has looked at the stream.
+TEST_F(IdLocks, AreBridgedByTheDescriptorThatIsSentAlong) {
+  EXPECT_TRUE(old_one->lock("q"));
+  const int on_its_way = old_one->extend("q");
+  ASSERT_GE(on_its_way, 0);
+  old_one.reset();
+  EXPECT_FALSE(new_one.lock("q"));
+  new_one.lock_transferred("q");
+  close(on_its_way);
+  EXPECT_FALSE(ops::FileRequestIdLocks(path).lock("q"));
+  new_one.unlock("q");
+  EXPECT_TRUE(ops::FileRequestIdLocks(path).lock("q"));
+}
+
+TEST_F(IdLocks, LockNothingWhereTheFileCannotBeOpened) {
+  ops::FileRequestIdLocks without_file("no-such-folder/ids");
+  EXPECT_TRUE(without_file.lock("q"));
+  EXPECT_EQ(without_file.extend("q"), -1);
+  without_file.unlock("q");
+}
+
 }  // namespace
 }  // namespace lemonroute::crossings
