Keep connections dismissable while the end of an answer is unsent

Change: a connection is idle as soon as its answer is written, as before. half_close gives the kernel what is unsent, and only if the kernel does not take all of it the connection ends behind the answer, no longer dismissable, within the 10 s for an answer. The 503 to a request behind an answer, which was closed together with the answer's unsent end, goes the same way.

--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -162,8 +162,6 @@
     timer_.stop();
     front_.router_.resume_stream(id_);
   }
-  if (state_ == State::head && asked_ && !in_request_)
-    rest();
 }
 // A peer that ends only its sending counts as gone as well: nothing tells it from one that closed, until
 // something is written to it, and a request that goes on for a client that has gone costs nodes more than the
@@ -173,14 +171,13 @@
     close();
 }
 void ClientConnection::on_timer() {
-  const bool takes_nothing = state_ == State::head && !in_request_ && connection_.unsent() > 0;
-  if (state_ == State::streaming || state_ == State::ending || takes_nothing)
+  if (state_ == State::streaming || state_ == State::ending)
     front_.loop_.tally().note(net::Overdone::takes_nothing, client_request_.prompt.id);
   if (state_ == State::head && !asked_ && !in_request_)
     front_.loop_.tally().note(net::Overdone::silent);
   if (in_request_ && (state_ == State::head || state_ == State::body))
     return answer_and_close(408);
-  if (state_ == State::head && !takes_nothing)
+  if (state_ == State::head)
     return half_close();
   if (leaving() && leaves_on())
     return;
@@ -277,18 +274,10 @@
   if (closes || (front_.draining_ && !asked_again) || connection_.unsent() >= most_unsent)
     return begin_ending(front_.options_.sending);
   state_ = State::head;
-  if (connection_.unsent() == 0)
-    rest();
-  else
-    timer_.start(front_.options_.sending);
-  if (asked_again)
-    connection_.poke();
-}
-
-// The answer has left; the client may ask again for a while.
-void ClientConnection::rest() {
   timer_.start(front_.options_.idle);
   front_.admission_.at_rest(*this);
+  if (asked_again)
+    connection_.poke();
 }
 
 }  // namespace lemonroute::http
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -63,7 +63,7 @@
   void answer(int status, std::string_view field = {});
   void answer_and_close(int status);
   void complete(bool closes);
-  void rest();
+  void end_after_answer();
   void begin_ending(Micros within);
   void finish_ending();
   bool leaves_on();
--- a/src/http/client_ending.cpp
+++ b/src/http/client_ending.cpp
@@ -29,7 +29,7 @@
   if (state_ != State::ending)
     return;
   if (connection_.unsent() > 0)
-    return close();
+    return end_after_answer();
   finish_ending();
 }
 
@@ -68,10 +68,17 @@
     drop_input();
 }
 
+// A slow client has as long for the end of its answer as for any part of it, and is not dismissed meanwhile.
+void ClientConnection::end_after_answer() {
+  front_.admission_.busy(*this);
+  begin_ending(front_.options_.sending);
+}
+
+// The end of an answer may not have left yet: it is given to the kernel before our end is told.
 void ClientConnection::half_close() {
-  const bool answer_unsent = state_ == State::head && connection_.unsent() > 0;
-  if (answer_unsent)
-    return begin_ending(front_.options_.sending);
+  connection_.push();
+  if (connection_.unsent() > 0)
+    return end_after_answer();
   state_ = State::half_closed;
   connection_.end_sending();
   connection_.leave_unread();
