Hand over how long a stream has been idle

Cause: neither TransferredStream nor its datagram said when the stream's last data had come, and AttemptRunner::adopt started the idle timeout of 4.5 s anew. Change: TransferredStream::idle_for, set by the sender and used by the receiver. The datagram states the moment on the machine's steady clock (last_data_us), so the time on the way counts; an older receiver passes the key over, and a datagram without it means "just now". Evidence: HandOver.AStreamWhoseNodeHangsEndsAtTheNewProcessByItsLastEvent ended 4.5 s after the hand-over before, and passes now; HandoverSocket asks for the time in the datagram.

--- a/src/core/router/attempt_runner.cpp
+++ b/src/core/router/attempt_runner.cpp
@@ -203,7 +203,7 @@
   attempt.call = context_.transport.adopt_stream(node, stream.call, attempt);
   if (!attempt.call)
     return false;
-  restart_stream_timer(attempt);
+  set_stream_timer(attempt, context_.now() - std::max(stream.idle_for, Micros(0)));
   return true;
 }
 
@@ -241,7 +241,12 @@
 }
 
 void AttemptRunner::restart_stream_timer(AttemptState& attempt) {
-  attempt.timer.set(context_.timers, context_.now() + stream_idle_timeout,
+  set_stream_timer(attempt, context_.now());
+}
+
+void AttemptRunner::set_stream_timer(AttemptState& attempt, Micros last_data_at) {
+  attempt.last_data_at = last_data_at;
+  attempt.timer.set(context_.timers, last_data_at + stream_idle_timeout,
                     [this, &attempt] { on_stream_stalled(attempt); });
 }
 
--- a/src/core/router/attempt_runner.h
+++ b/src/core/router/attempt_runner.h
@@ -74,6 +74,7 @@
   void schedule_unclaimed_release(AttemptState& attempt, Micros due_at);
   void limit_attempt_start(AttemptState& attempt, Micros at, AttemptResult result_if_not_sent);
   void restart_stream_timer(AttemptState& attempt);
+  void set_stream_timer(AttemptState& attempt, Micros last_data_at);
   void on_first_event(RequestState& request, AttemptState& attempt);
   void on_stream_stalled(AttemptState& attempt);
   void on_attempt_timeout(AttemptState& attempt);
--- a/src/core/router/process_handover.cpp
+++ b/src/core/router/process_handover.cpp
@@ -35,8 +35,13 @@
     const auto call = attempt.call->transferable_connection();
     if (!client || !call)
       continue;
-    const TransferredStream stream{
-        request.prompt.id, request.request_class, attempt.node, attempt.number, *client, *call};
+    const TransferredStream stream{request.prompt.id,
+                                   request.request_class,
+                                   attempt.node,
+                                   attempt.number,
+                                   context_.now() - attempt.last_data_at,
+                                   *client,
+                                   *call};
     if (!transfer(stream))
       return;
     logging::info() << "stream transferred: request=" << request.prompt.id << " node=" << attempt.node;
--- a/src/core/router/request_state.h
+++ b/src/core/router/request_state.h
@@ -78,6 +78,7 @@
   Role role;                     ///< the node's role when the attempt was sent
   Micros sent_at;                ///< when the attempt was started
   bool streaming = false;        ///< the first event of the answer has arrived
+  Micros last_data_at{};         ///< when data of the stream arrived last
   bool release_ordered = false;  ///< what the prefill may leave is being released, since its call was closed
   std::unique_ptr<Call> call;    ///< the call to the node; null until it is made
   ScopedTimer timer;             ///< the attempt's timeout or, while streaming, the stream's idle timeout
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -90,6 +90,7 @@
   std::string request_class;     ///< name of the class that the request was accepted with
   std::string node;              ///< name of the node that sends the stream
   std::uint16_t attempt = 0;     ///< number of the attempt within its request, from 0
+  Micros idle_for{};             ///< time since data of the stream arrived last
   TransferredConnection client;  ///< the connection to the client
   TransferredConnection call;    ///< the connection to the node
 };
--- a/src/ops/handover.cpp
+++ b/src/ops/handover.cpp
@@ -18,6 +18,7 @@
 namespace {
 
 constexpr std::size_t most_text = 4096;
+constexpr const char* last_data_key = "last_data_us";  // on the steady clock; absent: just now
 // The sockets of the client and the node, and what keeps the stream's id locked.
 enum DescriptorIndex : std::size_t { client_socket, node_socket, id_lock_file, descriptor_count };
 using Descriptors = std::array<int, descriptor_count>;
@@ -68,6 +69,11 @@
   alignas(cmsghdr) char control[CMSG_SPACE(sizeof(Descriptors))]{};
 };
 
+// The same clock in all processes of a machine.
+Micros steady_now() {
+  return std::chrono::duration_cast<Micros>(std::chrono::steady_clock::now().time_since_epoch());
+}
+
 std::string text_of(const nlohmann::json& all) {
   return all.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
@@ -111,13 +117,15 @@
   return state;
 }
 
-// Without its connections.
+// Without its connections. An earlier version does not state how long the stream has been idle.
 TransferredStream stream_of(const nlohmann::json& all) {
   TransferredStream stream;
   stream.id = all.at("id");
   stream.request_class = all.at("kind");
   stream.node = all.at("node");
   stream.attempt = all.at("attempt");
+  if (const auto last_data_at = all.find(last_data_key); last_data_at != all.end())
+    stream.idle_for = std::max(steady_now() - Micros(last_data_at->get<Micros::rep>()), Micros(0));
   stream.client.close_after_response = all.at("client");
   stream.call.close_after_response = all.at("call");
   return stream;
@@ -150,12 +158,14 @@
 }
 
 bool Handover::send(const std::string& path, const TransferredStream& stream, int id_lock) {
-  const nlohmann::json all{{"id", stream.id},
-                           {"kind", stream.request_class},
-                           {"node", stream.node},
-                           {"attempt", stream.attempt},
-                           {"client", stream.client.close_after_response},
-                           {"call", stream.call.close_after_response}};
+  nlohmann::json all{{"id", stream.id},
+                     {"kind", stream.request_class},
+                     {"node", stream.node},
+                     {"attempt", stream.attempt},
+                     {"client", stream.client.close_after_response},
+                     {"call", stream.call.close_after_response}};
+  if (stream.idle_for > Micros(0))
+    all[last_data_key] = (steady_now() - stream.idle_for).count();
   return post(path, text_of(all), {stream.client.fd, stream.call.fd, id_lock});
 }
 
--- a/tests/crossings/process/handover_test.cpp
+++ b/tests/crossings/process/handover_test.cpp
@@ -229,6 +229,17 @@
   expect_end();
 }
 
+// Guards against starting a stream's idle time anew with each upgrade.
+TEST_F(HandOver, AStreamWhoseNodeHangsEndsAtTheNewProcessByItsLastEvent) {
+  begin_new_one();
+  run(3s);  // it is cut 4.5 s after its last event
+  old_one->drain();
+  const auto ordered = Wall::now();
+  EXPECT_TRUE(until([&] { return client.ended(); }));
+  EXPECT_LT(Wall::now() - ordered, 3s);
+  EXPECT_FALSE(client.has("[DONE]") || client.has("\r\n0\r\n\r\n"));
+}
+
 // Killed with the stream on its way: the old process makes no difference, the new one cuts it.
 TEST_F(HandOver, TheOldProcessIsKilledWithAStreamOnItsWay) {
   begin_new_one();
@@ -253,6 +264,7 @@
       loop, path,
       [&](const TransferredStream& stream) {
         taken.push_back(stream.id);
+        EXPECT_GE(stream.idle_for, Micros(3s));  // and the time on its way
         close(stream.client.fd);
         close(stream.call.fd);
       },
@@ -260,7 +272,7 @@
   int both[2];
   ASSERT_EQ(socketpair(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0, both), 0);
   const auto pass = [&](const char* id) {
-    return ops::Handover::send(path, {id, "estratto", "s-1", 0, {both[0], false}, {both[1], false}});
+    return ops::Handover::send(path, {id, "estratto", "s-1", 0, 3s, {both[0], false}, {both[1], false}});
   };
   EXPECT_TRUE(pass("one"));
   EXPECT_TRUE(pass("two"));
