Bound the header lists of gRPC calls by their memory, not their text

Callers saw: 380 gRPC clients whose calls had 1,500 fields of a few letters took the process from 8 to 83 MB within 6 s under a limit of 32 MB (trial with processes); over HTTP it peaked at 14 MB. Cause: Session bounded a header list by the bytes of names and values, 16 KiB, while each field takes 64 bytes and more, and kept it until the call ended. Change: a field counts 32 bytes more than its text, as HTTP/2 defines the announced limit, and the list is released once the call has been opened. Its size is no longer counted anew for each field. Evidence: ProgramMemory.HeadersOfManyShortFieldsStayBelowTheLimit failed before and passes.

--- a/src/grpc/session.h
+++ b/src/grpc/session.h
@@ -101,11 +101,17 @@
  private:
   struct Stream {
     StreamEvents* events = nullptr;
-    Headers incoming;
+    Headers incoming;                // until it has been handed to the owner or to the events
+    std::size_t incoming_bytes = 0;  // of the header list, as RFC 9113, 10.5.1 counts them
     std::deque<std::string> out;
     std::unique_ptr<net::MemoryBudget::Account> request_memory;  // of a client's request, until it has left
     std::size_t out_offset = 0, out_size = 0, unconsumed = 0;
     Headers trailers;
+    // Returns the header list that has come, and holds none.
+    Headers take_headers() {
+      incoming_bytes = 0;
+      return std::exchange(incoming, {});
+    }
     bool responded = false, ended = false, held_back = false, parked = false, full = false;
     bool told_written = false, whole = false;    // whole: the request has come to its end
     bool begun = false;                          // its first frame has been handed to the connection
@@ -122,6 +128,7 @@
     void operator()(nghttp2_session* session) const { nghttp2_session_del(session); }
   };
   static constexpr std::size_t most_header_bytes = 16 * 1024, frame_head = 9;
+  static constexpr std::size_t header_field_overhead = 32;  // RFC 9113, 6.5.2
   static constexpr std::chrono::seconds look_again{1};
 
   void start(bool server);
--- a/src/grpc/session/in.cpp
+++ b/src/grpc/session/in.cpp
@@ -27,7 +27,7 @@
           if (s.server_ && frame->headers.cat == NGHTTP2_HCAT_REQUEST)
             s.streams_[frame->hd.stream_id].opened = Guard::Clock::now();
           if (auto* stream = s.stream(frame->hd.stream_id))
-            stream->incoming.clear();
+            stream->take_headers();
           return 0;
         });
     nghttp2_session_callbacks_set_on_header_callback(
@@ -36,10 +36,8 @@
           auto* stream = session_of(self).stream(frame->hd.stream_id);
           if (!stream)
             return 0;
-          std::size_t size = name_size + value_size;
-          for (const auto& [n, v] : stream->incoming)
-            size += n.size() + v.size();
-          if (size > most_header_bytes) {
+          stream->incoming_bytes += name_size + value_size + header_field_overhead;
+          if (stream->incoming_bytes > most_header_bytes) {
             Session& s = session_of(self);
             if (s.server_ && !s.abuse_) {
               s.abuse_ = s.guard_.happened(Guard::Clock::now(), Abuse::headers);
@@ -202,11 +200,12 @@
     if (server_ && frame.headers.cat == NGHTTP2_HCAT_REQUEST && counted_out_ && id > last_counted_) {
       reset(id, NGHTTP2_REFUSED_STREAM);
     } else if (server_ && frame.headers.cat == NGHTTP2_HCAT_REQUEST) {
-      stream->events = owner_.opened(*this, id, stream->incoming);
+      const Headers headers = stream->take_headers();
+      stream->events = owner_.opened(*this, id, headers);
       if ((stream = this->stream(id)) && !stream->events && !stream->ended)
         reset(id, NGHTTP2_REFUSED_STREAM);
     } else if (stream->events) {
-      stream->events->headers(stream->incoming);
+      stream->events->headers(stream->take_headers());
     }
   }
   const bool may_end = frame.hd.type == NGHTTP2_HEADERS || frame.hd.type == NGHTTP2_DATA;
--- a/tests/core/program_memory_test.cpp
+++ b/tests/core/program_memory_test.cpp
@@ -3,6 +3,7 @@
 #include <malloc.h>
 
 #include <algorithm>
+#include <memory>
 #include <utility>
 #include <vector>
 
@@ -105,6 +106,34 @@
   EXPECT_LT(loop.memory().held(), stated_body);
 }
 
+// Guards against header lists of very many short fields: each field takes far more memory than its text.
+TEST_F(ProgramMemory, HeadersOfManyShortFieldsStayBelowTheLimit) {
+  using namespace conformance;
+  constexpr std::size_t peer_count = 5, over_the_limit = 1400, within_the_limit = 400;
+  std::vector<std::unique_ptr<Peer>> peers;
+  for (const std::size_t fields : {over_the_limit, within_the_limit})
+    for (std::size_t i = 0; i < peer_count; ++i) {
+      peers.push_back(std::make_unique<Peer>(loop, Peer::dial(program->grpc_port())));
+      Peer& peer = *peers.back();
+      peer.send(preface + frame(SETTINGS, NONE, 0, ""));
+      Headers headers{{":method", "POST"},
+                      {":scheme", "http"},
+                      {":path", "/lemonroute.v1.Drafting/Generate"},
+                      {":authority", "x"},
+                      {"content-type", "application/grpc"},
+                      {"te", "trailers"}};
+      headers.resize(headers.size() + fields, {"a", "b"});
+      for (std::size_t call = 0; call < client_count && !peer.closed; ++call) {
+        peer.send(frame(HEADERS, END_HEADERS, static_cast<std::uint32_t>(2 * call + 1), peer.block(headers)));
+        peer.turn();
+        note_memory();
+      }
+    }
+  EXPECT_LT(peak, memory_mb * bytes_per_mb);
+  peers.clear();
+  expect_usual_client_is_served();
+}
+
 // Guards against half messages of gRPC calls that take the process over its memory limit.
 TEST_F(ProgramMemory, HalfMessagesStayBelowTheLimit) {
   using namespace conformance;
