Count what gRPC clients do not read against the memory of all clients

Callers saw: 380 gRPC clients with eight long answers each that they read slowly took the process from 8 to 41 MB under a limit of 32 MB (trial with processes, events of 8 kB). Cause: what a Session has handed to its connection, up to 64 KiB, was in no account of the memory budget, and an open call counted 8 KiB besides its messages where request, attempt and node connection take some 16. Change: an account for a session's unsent bytes; 8 KiB handed ahead instead of 64 while the budget is exhausted; 16 KiB for an open call. Evidence: GrpcFront.BytesThatAClientDoesNotReadCountAgainstTheMemoryBudget failed before and passes.

--- a/src/grpc/server.cpp
+++ b/src/grpc/server.cpp
@@ -8,7 +8,8 @@
 namespace {
 
 constexpr std::size_t most_waiting = 64 * 1024;  // of an answer, before the node has to wait
-constexpr std::size_t call_overhead = 8 * 1024;  // memory of an open call besides its messages, in bytes
+// Memory of an open call besides its messages, in bytes: request, attempt, node connection and their buffers.
+constexpr std::size_t call_overhead = 16 * 1024;
 constexpr std::chrono::milliseconds retry_after_eviction{1000};
 
 }  // namespace
--- a/src/grpc/session.h
+++ b/src/grpc/session.h
@@ -170,6 +170,7 @@
   std::uint64_t received_ = 0, begun_ = 0;  // bytes: all that came, and those of frames that were begun
   Guard::Clock::time_point since_ = Guard::Clock::now(), rests_ = since_;
   std::uint64_t written_ = 0;
+  net::MemoryBudget::Account output_memory_;  // of what has been handed to the connection and has not left
   std::map<std::int32_t, Stream> streams_;
   std::deque<Waiting> waiting_;     // in the order of their ids; each has its entry in streams_
   std::uint32_t next_id_ = 1;       // of a client's next request
--- a/src/grpc/session/out.cpp
+++ b/src/grpc/session/out.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr std::size_t most_unsent = 64 * 1024;  // handed to the connection ahead of the socket
+constexpr std::size_t most_unsent_short_of_memory = 8 * 1024;
 constexpr std::size_t drained_below = 16 * 1024;
 
 Session& session_of(void* self) {
@@ -169,7 +170,9 @@
   // been asked for yet; bytes handed to the connection go out.
   if (connection_->unsent() == 0)
     open_streams();
-  while (connection_->unsent() < most_unsent) {
+  const bool is_short_of_memory = server_ && loop_.memory().is_exhausted();
+  const std::size_t most = is_short_of_memory ? most_unsent_short_of_memory : most_unsent;
+  while (connection_->unsent() < most) {
     const std::uint8_t* bytes = nullptr;
     const ssize_t size = nghttp2_session_mem_send(session_.get(), &bytes);
     if (size < 0)
@@ -179,6 +182,7 @@
     written_ += static_cast<std::uint64_t>(size);
     connection_->write({reinterpret_cast<const char*>(bytes), static_cast<std::size_t>(size)});
   }
+  output_memory_.hold(connection_->unsent());
   if (!nghttp2_session_want_read(session_.get()) && !nghttp2_session_want_write(session_.get()) &&
       connection_->unsent() == 0)
     server_ ? part() : close();
--- a/tests/core/grpc_front_test.cpp
+++ b/tests/core/grpc_front_test.cpp
@@ -28,20 +28,24 @@
     ASSERT_TRUE(peer->until([&] { return peer->find(SETTINGS, 0) != nullptr; }));
     peer->send(frame(SETTINGS, ACK, 0, ""));
   }
-  void send_request(std::uint32_t stream) {
+  // The frames of a whole call.
+  string call(std::uint32_t stream) {
     v1::GenerateRequest request;
     request.set_id("q" + std::to_string(stream));
     request.set_kind("k");
     request.set_prompt_tokens(100);
     request.set_body("{}");
-    peer->send(frame(HEADERS, END_HEADERS, stream,
-                     peer->block({{":method", "POST"},
-                                  {":scheme", "http"},
-                                  {":path", "/lemonroute.v1.Drafting/Generate"},
-                                  {":authority", "x"},
-                                  {"content-type", "application/grpc"},
-                                  {"te", "trailers"}})) +
-               frame(DATA, END_STREAM, stream, grpc::frame(request.SerializeAsString())));
+    return frame(HEADERS, END_HEADERS, stream,
+                 peer->block({{":method", "POST"},
+                              {":scheme", "http"},
+                              {":path", "/lemonroute.v1.Drafting/Generate"},
+                              {":authority", "x"},
+                              {"content-type", "application/grpc"},
+                              {"te", "trailers"}})) +
+           frame(DATA, END_STREAM, stream, grpc::frame(request.SerializeAsString()));
+  }
+  void send_request(std::uint32_t stream) {
+    peer->send(call(stream));
     const auto attempts_before = nodes.begun.size();
     ASSERT_TRUE(peer->until([&] { return nodes.begun.size() > attempts_before; }));
   }
@@ -99,6 +103,35 @@
   EXPECT_EQ(peer->field(1, "grpc-status"), "0");
 }
 
+// Guards against memory that the budget does not see: what has been handed to the connection of a client that
+// does not read. All that the kernel has not taken counts.
+TEST_F(GrpcFront, BytesThatAClientDoesNotReadCountAgainstTheMemoryBudget) {
+  constexpr std::uint32_t largest_window = 0x7fffffff, initial_window = 65535;
+  const int fd = Peer::dial(server.port());
+  peer = std::make_unique<Peer>(loop, fd);
+  exchange_settings(setting(4, largest_window));
+  peer->send(frame(WINDOW_UPDATE, NONE, 0, number(largest_window - initial_window)));
+  send_request(1);
+  finish_prefill();
+  const string event(8192, 'x');
+  std::size_t written = 0;
+  for (int rounds_paused = 0; rounds_paused < 100;) {
+    if (!nodes.begun.back().paused) {
+      decode_handler().on_data(event);
+      written += event.size();
+    } else {
+      ++rounds_paused;
+    }
+    event_base_loop(loop.base(), EVLOOP_NONBLOCK);
+  }
+  std::size_t in_kernel = 0;
+  std::vector<char> buffer(1 << 20);
+  for (ssize_t got; (got = recv(fd, buffer.data(), buffer.size(), MSG_DONTWAIT)) > 0;)
+    in_kernel += static_cast<std::size_t>(got);
+  ASSERT_GT(written, in_kernel);
+  EXPECT_GE(loop.memory().held(), written - in_kernel);
+}
+
 TEST_F(GrpcFront, ClosedConnectionClosesItsRequests) {
   for (const bool half_close : {false, true}) {
     peer = std::make_unique<Peer>(loop, Peer::dial(server.port()));
