Send the end of a gRPC answer before its connection is dismissed for want of places

Cause: a gRPC connection without open calls counts as idle when the end of its last answer has been handed to HTTP/2, and Admission closes it after 2 s when places are short, with the end unsent if its client reads slowly. Evidence: GrpcFront.ADismissedConnectionGetsTheEndOfItsAnswer failed before and passes.

--- a/src/grpc/server.cpp
+++ b/src/grpc/server.cpp
@@ -134,7 +134,7 @@
   listener_ = std::make_unique<net::Listener>(
       loop, listen,
       [this](evutil_socket_t fd) {
-        auto visit = std::make_unique<Visit>();
+        auto visit = std::make_unique<Visit>(admission_);
         Visit& made = *visit;
         constexpr auto least = decltype(random_)::min(), most = decltype(random_)::max();
         limits_.jitter = static_cast<double>(random_() - least) / static_cast<double>(most - least);
--- a/src/grpc/server.h
+++ b/src/grpc/server.h
@@ -89,7 +89,15 @@
 
   // A connection and how many of its calls are open.
   struct Visit : net::Admission::Peer {
-    void dismiss() override { session->close(); }
+    explicit Visit(net::Admission& admission) : admission(admission) {}
+    // An answer whose end has not left, since its client reads slowly, is sent first.
+    void dismiss() override {
+      if (!session->has_unsent_answers())
+        return session->close();
+      admission.busy(*this);
+      session->go_away();
+    }
+    net::Admission& admission;
     std::unique_ptr<Session> session;
     std::size_t calls = 0;
   };
--- a/src/grpc/session.h
+++ b/src/grpc/session.h
@@ -75,6 +75,8 @@
 
   bool usable() const { return !closed_ && !going_; }  // for a new request
   bool quiet() const { return streams_.empty(); }
+  /// Returns whether answers, or their ends, have not left this process yet.
+  bool has_unsent_answers() const { return !streams_.empty() || connection_->unsent() > 0; }
 
   // A client's request, under the stream id that is returned (negative: none is left). It waits here until
   // the connection is up, what was written before has left, and the peer allows one more stream; until then
--- a/tests/core/grpc_front_test.cpp
+++ b/tests/core/grpc_front_test.cpp
@@ -132,6 +132,27 @@
   EXPECT_GE(loop.memory().held(), written - in_kernel);
 }
 
+// Guards against closing a connection without open calls while the end of an answer waits for its client,
+// when places are short.
+TEST_F(GrpcFront, ADismissedConnectionGetsTheEndOfItsAnswer) {
+  constexpr std::uint32_t more_window = 1 << 20;
+  exchange_settings();
+  send_request(1);
+  finish_prefill();
+  decode_handler().on_data(string(100 * 1024, 'x'));  // more than the client's window takes
+  decode_handler().on_done({Outcome::ok, 0, {}, {}});
+  const auto rested =
+      std::chrono::steady_clock::now() + std::chrono::milliseconds(2100);  // then it may be dismissed
+  while (std::chrono::steady_clock::now() < rested)
+    peer->turn();
+  server.limit(1);
+  peer->send(frame(WINDOW_UPDATE, NONE, 0, number(more_window)) +
+             frame(WINDOW_UPDATE, NONE, 1, number(more_window)));
+  EXPECT_TRUE(peer->until([&] { return peer->over(1); }));
+  EXPECT_EQ(peer->field(1, "grpc-status"), "0");
+  EXPECT_TRUE(peer->until([&] { return server.idle(); }, 40000));
+}
+
 TEST_F(GrpcFront, ClosedConnectionClosesItsRequests) {
   for (const bool half_close : {false, true}) {
     peer = std::make_unique<Peer>(loop, Peer::dial(server.port()));
