Forget a health watch when its call ends

Cause: ops::Status kept an entry for each watch and removed ended ones at the next change of the status only, which may never come. Change: the handle of a watch removes its entry when it is destroyed.

--- a/src/ops/status.cpp
+++ b/src/ops/status.cpp
@@ -19,20 +19,20 @@
   const State now = state();
   if (std::exchange(told_, now) == now)
     return;
-  for (auto at = watchers_.begin(); at != watchers_.end();) {
-    if (const auto watcher = at->second.lock()) {
+  const Watchers notified = *watchers_;  // a watcher that is notified may end other watches
+  for (const auto& [id, watcher] : notified)
+    if (watchers_->contains(id))
       (*watcher)(now);
-      ++at;
-    } else {
-      at = watchers_.erase(at);
-    }
-  }
 }
 
 Status::Handle Status::watch(std::function<void(State)> changed) {
-  auto handle = std::make_shared<const std::function<void(State)>>(std::move(changed));
-  watchers_[next_++] = handle;
-  return handle;
+  const std::uint64_t id = next_++;
+  (*watchers_)[id] = std::make_shared<const std::function<void(State)>>(std::move(changed));
+  const auto remove = [watchers = std::weak_ptr(watchers_), id](void*) {
+    if (const auto remaining = watchers.lock())
+      remaining->erase(id);
+  };
+  return {nullptr, remove};
 }
 
 }  // namespace lemonroute::ops
--- a/tests/net/tools_test.cpp
+++ b/tests/net/tools_test.cpp
@@ -700,6 +700,15 @@
   until("12");
   bed.list(EndpointState::ready);
   until("121");
+  // Guards against watches that are kept when their call has ended: one client could open them for ever.
+  for (int i = 0; i < 3; ++i) {
+    HealthCall left(bed, server.port(), "Watch", "");
+    while (left.seen.empty())
+      bed.loop.run_once();
+  }
+  for (int round = 0; round < 10000 && bed.status.watcher_count() > 2; ++round)
+    event_base_loop(bed.loop.base(), EVLOOP_NONBLOCK);
+  assert(bed.status.watcher_count() == 2);
   bed.status.drain();
   while (!watch.over || !unknown.over)
     bed.loop.run_once();
