Start no attempt for a client that has closed its connection

Cause: a connection's end is behind all unread bytes. The HTTP front looked for it by the next byte, the gRPC front not at all, and nothing looked before a further attempt. Change: before each attempt AttemptRunner asks Client::has_disconnected, and fronts ask the kernel for the connection's state (TCP_INFO). The request ends as if the front had reported the end, and the front is told, so that it does not report an id that may be another request's by then.

--- a/src/core/router/attempt_runner.cpp
+++ b/src/core/router/attempt_runner.cpp
@@ -61,8 +61,22 @@
   return std::nullopt;
 }
 
+// A client may have disconnected without the front's knowledge: the end of its connection is read last, and
+// other events may come first after the process was held up.
+void AttemptRunner::detach_disconnected_client(RequestState* request) {
+  if (!request || !request->client || !request->client->has_disconnected())
+    return;
+  logging::debug() << "client disconnected: request=" << request->prompt.id
+                   << " attempts=" << request->attempt_count;
+  Client& client = *request->client;
+  requests_.close_client(*request);
+  client.on_disconnected();
+  events_.enqueue(ClientDisconnected{request->id});
+}
+
 void AttemptRunner::start(const Send& send) {
   RequestState* request = requests_.find(send.id);
+  detach_disconnected_client(request);
   const std::uint16_t number = request ? request->attempt_count++ : std::uint16_t(0);
   const Micros now = context_.now();
   if (const auto reason = reason_not_to_send(request, number, send.endpoint, now)) {
--- a/src/core/router/attempt_runner.h
+++ b/src/core/router/attempt_runner.h
@@ -66,6 +66,7 @@
   /// The call to the client at the end of an attempt.
   enum class ClientAnswer { none, finish, fail_as_bad_request, abort_stream };
 
+  void detach_disconnected_client(RequestState* request);
   [[nodiscard]] bool would_repeat(const RequestState& request, EndpointId endpoint) const;
   [[nodiscard]] bool may_repeat_at(const RequestState& request, EndpointId endpoint) const;
   [[nodiscard]] std::optional<Outcome> reason_not_to_send(const RequestState* request, std::uint16_t number,
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -128,6 +128,11 @@
 class Client {
  public:
   virtual ~Client() = default;
+  /// Returns whether the client has closed its connection, also if the front has not been notified of that
+  /// yet, for example because much that the client sent before is still unread.
+  virtual bool has_disconnected() const { return false; }
+  /// Reports that the core has closed the request, because has_disconnected() returned true.
+  virtual void on_disconnected() {}
   /// Passes on one event of the answer's stream. Returns false if the client is slow; no more data is then
   /// read from the node until Router::resume_stream is called.
   virtual bool on_data(std::string_view data) = 0;
--- a/src/grpc/front.cpp
+++ b/src/grpc/front.cpp
@@ -63,6 +63,8 @@
   }
   void drained() override { router_.resume_stream(id_); }
 
+  bool has_disconnected() const override { return call_.client_has_closed(); }
+  void on_disconnected() override { end(Status::cancelled, "the client has gone"); }
   bool on_data(std::string_view data) override {
     v1::GenerateEvent event;
     event.set_data(std::string(data));
--- a/src/grpc/server.h
+++ b/src/grpc/server.h
@@ -43,6 +43,8 @@
     return send(frame(std::string_view(message.SerializeAsString()), writes_));
   }
   void finish(Status status, std::string_view text, const Headers& more = {});  // the call is over; once
+  /// Returns whether the client's connection has ended, also if that has not been handled yet.
+  bool client_has_closed() const { return session_.peer_has_closed(); }
   /// The bound on what the process holds for its clients.
   net::MemoryBudget& memory() { return loop_.memory(); }
 
--- a/src/grpc/session.h
+++ b/src/grpc/session.h
@@ -77,6 +77,8 @@
   bool quiet() const { return streams_.empty(); }
   /// Returns whether answers, or their ends, have not left this process yet.
   bool has_unsent_answers() const { return !streams_.empty() || connection_->unsent() > 0; }
+  /// Returns whether the peer has ended or reset the connection, however much of what it sent is unread.
+  bool peer_has_closed() const { return connection_->peer_has_closed(); }
 
   // A client's request, under the stream id that is returned (negative: none is left). It waits here until
   // the connection is up, what was written before has left, and the peer allows one more stream; until then
--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -116,7 +116,7 @@
     return answer(status_);
   // Who had gone before its request was read, in the listener's queue or while this process did not run,
   // wants nothing.
-  if (connection_.ended())
+  if (connection_.peer_has_closed())
     return close();
   client_request_.prompt.body = net::budgeted_text(front_.loop_.memory(), received_.take());
   charge_memory();
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -52,6 +52,8 @@
   void evict_request();    // an incomplete request, whose memory is needed
 
   // ---- what goes out ----
+  bool has_disconnected() const override { return connection_.peer_has_closed(); }
+  void on_disconnected() override;
   bool on_data(std::string_view data) override;
   void finish() override;
   void reject(Micros stay_away) override;
--- a/src/http/client_ending.cpp
+++ b/src/http/client_ending.cpp
@@ -40,6 +40,11 @@
   front_.discard(*this);
 }
 
+void ClientConnection::on_disconnected() {
+  state_ = State::closed;
+  front_.discard(*this);
+}
+
 // What comes from now on belongs to no answer of this connection, unless its request is not whole.
 void ClientConnection::begin_ending(Micros within) {
   state_ = State::ending;
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -8,6 +8,7 @@
 
 #include <cerrno>
 #include <cstring>
+#include <optional>
 #include <stdexcept>
 
 #include "base/log.h"
@@ -21,6 +22,14 @@
   return error == EMFILE || error == ENFILE;
 }
 
+std::optional<int> tcp_state(evutil_socket_t fd) {
+  tcp_info info{};
+  socklen_t size = sizeof info;
+  if (getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) != 0)
+    return std::nullopt;
+  return info.tcpi_state;
+}
+
 void no_delay(evutil_socket_t fd) {
   const int on = 1;
   setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
@@ -126,11 +135,20 @@
   const auto got = recv(bufferevent_getfd(bev_.get()), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
   return got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
 }
+bool Connection::peer_has_closed() const {
+  switch (tcp_state(descriptor()).value_or(TCP_ESTABLISHED)) {
+    case TCP_CLOSE_WAIT:
+    case TCP_CLOSING:
+    case TCP_LAST_ACK:
+    case TCP_TIME_WAIT:
+    case TCP_CLOSE:
+      return true;
+    default:
+      return ended();
+  }
+}
 bool Connection::unacknowledged() const {
-  tcp_info info{};
-  socklen_t size = sizeof info;
-  const bool open = getsockopt(bufferevent_getfd(bev_.get()), IPPROTO_TCP, TCP_INFO, &info, &size) == 0 &&
-                    info.tcpi_state != TCP_CLOSE;
+  const bool open = tcp_state(descriptor()).value_or(TCP_CLOSE) != TCP_CLOSE;
   int bytes = 0;
   return open && ioctl(bufferevent_getfd(bev_.get()), SIOCOUTQ, &bytes) == 0 && bytes > 0;
 }
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -50,6 +50,8 @@
   bool silent() const;  // nothing has come in, not even an end
   bool ended() const;   // the peer's end, or an error, is what would be read next
   evutil_socket_t descriptor() const { return bufferevent_getfd(bev_.get()); }
+  // The peer has ended its side or reset the connection, however much of what it sent is still unread.
+  bool peer_has_closed() const;
   bool at_rest() const {  // nothing that has come or is to go is held here
     return unsent() == 0 && evbuffer_get_length(bufferevent_get_input(bev_.get())) == 0;
   }
--- a/tests/core/grpc_front_test.cpp
+++ b/tests/core/grpc_front_test.cpp
@@ -153,6 +153,22 @@
   EXPECT_TRUE(peer->until([&] { return server.idle(); }, 40000));
 }
 
+// Guards against attempts for calls whose client has closed the connection: its end is behind all that is
+// unread.
+TEST_F(GrpcFront, NothingIsStartedForAClientThatClosedWithMuchUnread) {
+  exchange_settings();
+  string calls;
+  for (std::uint32_t stream = 1; stream < 200; stream += 2)
+    calls += call(stream);
+  peer->send(calls);  // the front does not run meanwhile
+  peer->drop();
+  for (int i = 0; i < 200; ++i)
+    event_base_loop(loop.base(), EVLOOP_NONBLOCK);
+  EXPECT_TRUE(nodes.begun.empty());
+  EXPECT_EQ(core.open_request_count(), 0u);
+  EXPECT_TRUE(server.idle());
+}
+
 TEST_F(GrpcFront, ClosedConnectionClosesItsRequests) {
   for (const bool half_close : {false, true}) {
     peer = std::make_unique<Peer>(loop, Peer::dial(server.port()));
--- /dev/null
+++ b/tests/core/router_clients_test.cpp
@@ -0,0 +1,52 @@
+// Router: clients that leave, ids that come again, and streams of nodes that write slowly.
+#include <gtest/gtest.h>
+
+#include "base/log.h"
+#include "net/core_bed.h"
+
+namespace lemonroute::test {
+namespace {
+
+// Guards against attempts for a client that has closed its connection when the front has not read that yet.
+struct LeavingClient : TestClient {
+  bool has_disconnected() const override { return disconnected; }
+  void on_disconnected() override { ++notified; }
+  bool disconnected = false;
+  int notified = 0;
+};
+
+TEST(ClientThatHasDisconnected, GetsNoFurtherAttempt) {
+  logging::set_level(logging::Level::error);
+  Bed bed;
+  LeavingClient client;
+  ClientRequest client_request;
+  client_request.prompt = {"q", "/", std::make_shared<std::string>("{}")};
+  client_request.request_class = "k";
+  RequestId id = 0;
+  ASSERT_EQ(bed.core.submit(client_request, client, id), Router::SubmitResult::accepted);
+  client.disconnected = true;
+  bed.done(Outcome::prefill_done);
+  EXPECT_EQ(bed.nodes.begun.size(), 1u);
+  EXPECT_EQ(client.notified, 1);
+  EXPECT_EQ(client.answers, 0);
+  EXPECT_EQ(bed.core.open_request_count(), 0u);
+  EXPECT_EQ(bed.nodes.released.size(), 1u);  // what the prefill has left
+}
+
+TEST(ClientThatHasDisconnected, GetsNoFirstAttempt) {
+  logging::set_level(logging::Level::error);
+  Bed bed;
+  LeavingClient client;
+  client.disconnected = true;
+  ClientRequest client_request;
+  client_request.prompt = {"q", "/", std::make_shared<std::string>("{}")};
+  client_request.request_class = "k";
+  RequestId id = 0;
+  ASSERT_EQ(bed.core.submit(client_request, client, id), Router::SubmitResult::accepted);
+  EXPECT_TRUE(bed.nodes.begun.empty());
+  EXPECT_EQ(client.notified, 1);
+  EXPECT_TRUE(bed.core.idle());
+}
+
+}  // namespace
+}  // namespace lemonroute::test
