Keep an id claimed until nodes have detected the end of its last call

On loopback the nodes saw one attempt at a time; where the second node is nearer than the first, two of one id can be out. Cause: with the client the call is closed and the request destroyed, and its id is free in the same moment; between attempts of one request the router waits for the node to detect the end. Change: if the router closed the call of a request's last attempt, ClientIds keeps the id claimed for 100 ms more, over all processes of the router. Evidence: IdOfAClientThatLeft.IsRejectedUntilTheNodeHasDetectedTheEnd and two of ClientIdsTest.

--- a/src/core/router/action_executor.cpp
+++ b/src/core/router/action_executor.cpp
@@ -56,7 +56,10 @@
       releaser_.release_orphaned(*request);
     if (request->client)
       continue;
-    client_ids_.release(request->prompt.id);
+    if (request->call_closed_at)
+      client_ids_.release_after_close(request->prompt.id, *request->call_closed_at);
+    else
+      client_ids_.release(request->prompt.id);
     requests_.erase(id);
   }
 }
--- a/src/core/router/attempt_results.cpp
+++ b/src/core/router/attempt_results.cpp
@@ -48,6 +48,7 @@
   log_result(request, *ended, result);
   if (!result.load_report.empty())
     nodes_.record_load_report(ended->endpoint, result.load_report, context_.now());
+  record_closed_call(request, *ended, result);
   update_retry_deadline(request, *ended, result);
   update_reservation(request, *ended, result);
   update_last_contact(*ended, result.outcome);
@@ -131,6 +132,15 @@
     request.retry_deadline = ended.sent_at + request.retry_window;
 }
 
+// An answer or a rejection of the node has ended the attempt there as well.
+void AttemptRunner::record_closed_call(RequestState& request, const AttemptState& ended,
+                                       const AttemptResult& result) {
+  const bool ended_by_router = result.outcome == Outcome::cancelled || result.outcome == Outcome::timeout ||
+                               result.outcome == Outcome::reset;
+  if (ended_by_router && !ended.not_sent())
+    request.call_closed_at = context_.now();
+}
+
 void AttemptRunner::update_reservation(RequestState& request, const AttemptState& ended,
                                        const AttemptResult& result) {
   const Micros now = context_.now();
--- a/src/core/router/attempt_runner.h
+++ b/src/core/router/attempt_runner.h
@@ -84,6 +84,7 @@
   [[nodiscard]] static bool never_ran(const AttemptState& ended, const AttemptResult& result);
   static void update_retry_deadline(RequestState& request, const AttemptState& ended,
                                     const AttemptResult& result);
+  void record_closed_call(RequestState& request, const AttemptState& ended, const AttemptResult& result);
   void update_reservation(RequestState& request, const AttemptState& ended, const AttemptResult& result);
   void update_last_contact(const AttemptState& ended, Outcome outcome);
   [[nodiscard]] static ClientAnswer client_answer(const RequestState& request, const AttemptState& ended,
--- a/src/core/router/client_ids.h
+++ b/src/core/router/client_ids.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <unordered_set>
 
+#include "core/router/router_context.h"
 #include "core/types.h"
 
 namespace lemonroute {
@@ -14,6 +15,9 @@
 /// request by it, so two open requests with one id would lead to attempts that nodes cannot distinguish.
 class ClientIds {
  public:
+  /// `context` must outlive this object.
+  explicit ClientIds(const RouterContext& context) : context_(context) {}
+
   /// Sets the locks that exclude the other processes; null, which is also the default, if there are none.
   /// They must outlive this object or be replaced. Call it while no id is claimed.
   void set_locks(RequestIdLocks* locks) { locks_ = locks; }
@@ -24,8 +28,13 @@
   [[nodiscard]] bool claim_transferred(const std::string& id);
   /// Releases an id that was claimed.
   void release(const std::string& id);
+  /// Releases an id that was claimed once the node has had time to detect that the call of the request's last
+  /// attempt was closed at `closed_at`. An attempt of another request with this id could otherwise reach a
+  /// node first.
+  void release_after_close(const std::string& id, Micros closed_at);
 
  private:
+  const RouterContext& context_;
   std::unordered_set<std::string> claimed_;
   RequestIdLocks* locks_ = nullptr;
 };
--- a/src/core/router/request_state.h
+++ b/src/core/router/request_state.h
@@ -126,7 +126,8 @@
   /// Nodes at which a prefill was interrupted. It may have completed at the same moment without this router's
   /// knowledge, so these nodes are asked to release it as soon as no attempt is in progress.
   std::vector<ReservationHolder> orphaned_reservations;
-  bool adopted = false;  ///< another process of this router started the stream
+  std::optional<Micros> call_closed_at;  ///< when the router last closed the call of a sent attempt
+  bool adopted = false;                  ///< another process of this router started the stream
 
   /// Returns whether the answer of the attempt in progress has started.
   [[nodiscard]] bool is_streaming() const { return attempt && attempt->streaming; }
--- a/src/core/router/router.cpp
+++ b/src/core/router/router.cpp
@@ -16,6 +16,7 @@
                   router.on_change();
               }},
       scheduler(settings, seed),
+      client_ids(context),
       nodes(settings, std::move(zones), std::move(kinds), clock),
       releaser(context, requests, nodes),
       events(*this, context.notify_change),
--- a/src/core/router/router_impl.h
+++ b/src/core/router/router_impl.h
@@ -46,10 +46,10 @@
   Timers timers;                              ///< the timers of all members
   RouterContext context;                      ///< what all members share
   Scheduler scheduler;                        ///< makes all decisions
+  ClientIds client_ids;                       ///< the ids that clients gave the open requests
   RequestMetrics metrics;                     ///< counts requests by class
   NodeRegistry nodes;                         ///< the nodes that this router knows
   RequestTable requests;                      ///< the open requests
-  ClientIds client_ids;                       ///< the ids that clients gave them
   ReservationReleaser releaser;               ///< releases reservations at nodes
   EventDispatcher events;                     ///< the queue of events
   ObserverReporter reporter;                  ///< reports to the NodeObserver
--- a/tests/core/client_ids_test.cpp
+++ b/tests/core/client_ids_test.cpp
@@ -5,6 +5,8 @@
 
 #include <set>
 
+#include "core/class_test_support.h"
+
 namespace lemonroute::test {
 namespace {
 
@@ -22,14 +24,14 @@
   std::multiset<std::string>& locked;  // by either process
 };
 
-struct ClientIdsTest : ::testing::Test {
+struct ClientIdsTest : ::testing::Test, RouterClassFixture {
   ClientIdsTest() {
     here.set_locks(&locks_here);
     there.set_locks(&locks_there);
   }
   std::multiset<std::string> locked;
   FakeLocks locks_here{locked}, locks_there{locked};
-  ClientIds here, there;
+  ClientIds here{context}, there{context};
 };
 
 TEST_F(ClientIdsTest, AnIdIsClaimedOnceUntilItIsReleased) {
@@ -70,8 +72,29 @@
   EXPECT_FALSE(here.claim_transferred("q"));
 }
 
-TEST(ClientIdsOfOneProcess, NeedNoLocks) {
-  ClientIds ids;
+// The node of the closed call has not detected its end yet, and neither process may use the id.
+TEST_F(ClientIdsTest, AnIdIsReleasedSomeTimeAfterItsCallWasClosed) {
+  EXPECT_TRUE(here.claim("q"));
+  here.release_after_close("q", clock.time);
+  clock.time += 99ms;
+  timers.run_due(clock.time);
+  EXPECT_FALSE(here.claim("q"));
+  EXPECT_FALSE(there.claim("q"));
+  clock.time += 1ms;
+  timers.run_due(clock.time);
+  EXPECT_TRUE(there.claim("q"));
+}
+
+TEST_F(ClientIdsTest, AnIdWhoseCallWasClosedLongAgoIsReleasedAtOnce) {
+  EXPECT_TRUE(here.claim("q"));
+  here.release_after_close("q", clock.time - 1s);
+  EXPECT_TRUE(here.claim("q"));
+}
+
+struct ClientIdsOfOneProcess : ::testing::Test, RouterClassFixture {};
+
+TEST_F(ClientIdsOfOneProcess, NeedNoLocks) {
+  ClientIds ids(context);
   EXPECT_TRUE(ids.claim("q"));
   EXPECT_FALSE(ids.claim("q"));
   ids.release("q");
--- a/tests/core/grpc_front_test.cpp
+++ b/tests/core/grpc_front_test.cpp
@@ -52,6 +52,11 @@
   // Completes the prefill; the request is then at a decode node.
   void finish_prefill() { nodes.begun.back().attempt->on_done({Outcome::prefill_done, 0, {}, {}}); }
   AttemptHandler& decode_handler() { return *nodes.begun.back().attempt; }
+  // The same ids are used again.
+  void free_ids_of_clients_that_left() {
+    clock.at += std::chrono::milliseconds(100);
+    core.run_timers();
+  }
   bool all_requests_closed() {
     return peer->until([&] { return core.open_request_count() == 0; });
   }
@@ -171,6 +176,7 @@
 
 TEST_F(GrpcFront, ClosedConnectionClosesItsRequests) {
   for (const bool half_close : {false, true}) {
+    free_ids_of_clients_that_left();
     peer = std::make_unique<Peer>(loop, Peer::dial(server.port()));
     exchange_settings();
     send_request(1);
@@ -207,6 +213,7 @@
 // flow-control window or the socket buffer is full.
 TEST_F(GrpcFront, CancelIsReadFromAClientThatDoesNotRead) {
   for (const bool window_full : {true, false}) {
+    free_ids_of_clients_that_left();
     peer = std::make_unique<Peer>(loop, Peer::dial(server.port()));
     exchange_settings(window_full ? setting(4, 0) : setting(4, 0x7fffffff));
     if (!window_full)
--- a/tests/core/router_clients_test.cpp
+++ b/tests/core/router_clients_test.cpp
@@ -7,6 +7,36 @@
 namespace lemonroute::test {
 namespace {
 
+// Guards against running an id again at another node before the first one has detected that its client left.
+struct IdOfAClientThatLeft : ::testing::Test {
+  IdOfAClientThatLeft() { logging::set_level(logging::Level::error); }
+  Router::SubmitResult submit_again() {
+    ClientRequest client_request;
+    client_request.prompt = {bed.next_id, "/", std::make_shared<std::string>("{}")};
+    client_request.request_class = "k";
+    RequestId id = 0;
+    return bed.core.submit(client_request, other_client, id);
+  }
+  Bed bed;
+  TestClient other_client;
+};
+
+TEST_F(IdOfAClientThatLeft, IsRejectedUntilTheNodeHasDetectedTheEnd) {
+  bed.take();
+  bed.core.client_disconnected(bed.id);
+  EXPECT_EQ(submit_again(), Router::SubmitResult::duplicate_id);
+  bed.pass(100ms);
+  EXPECT_EQ(submit_again(), Router::SubmitResult::accepted);
+}
+
+// The other side: an id whose request was answered by its node may be used at once.
+TEST_F(IdOfAClientThatLeft, IsAcceptedAtOnceAfterAnAnswer) {
+  bed.take();
+  bed.done(Outcome::prefill_done);
+  bed.done(Outcome::ok);
+  EXPECT_EQ(submit_again(), Router::SubmitResult::accepted);
+}
+
 // Guards against attempts for a client that has closed its connection when the front has not read that yet.
 struct LeavingClient : TestClient {
   bool has_disconnected() const override { return disconnected; }
