Count a part of an event as progress of its stream

Callers saw: a stream whose node wrote one event over 8 s, a byte at a time, was cut 4.5 s after the event before it; comment lines did not keep a stream open either (trials with processes, both fronts). Cause: AttemptRunner restarted the idle timeout at whole events only. Change: AttemptHandler::on_progress tells of a part of a stream, from HTTP and gRPC nodes, and restarts the timeout unless reading is paused for a slow client.

--- a/src/core/router/attempt_runner.cpp
+++ b/src/core/router/attempt_runner.cpp
@@ -193,6 +193,7 @@
   const RequestState* request = requests_.find(id);
   if (!request || !request->is_streaming())
     return;
+  request->attempt->reading_paused = false;
   request->attempt->call->set_reading_paused(false);
   restart_stream_timer(*request->attempt);
   context_.notify_change();
@@ -221,6 +222,13 @@
   return true;
 }
 
+void AttemptRunner::on_attempt_progress(AttemptState& attempt) {
+  if (!attempt.streaming || attempt.reading_paused)
+    return;
+  restart_stream_timer(attempt);
+  context_.notify_change();
+}
+
 void AttemptRunner::on_attempt_data(AttemptState& attempt, std::string_view data) {
   RequestState& request = *requests_.find(attempt.request);
   restart_stream_timer(attempt);
@@ -240,6 +248,7 @@
     return;
   // While reading is paused for a slow client, no data can arrive, which must not count as a stalled stream.
   attempt.timer.cancel();
+  attempt.reading_paused = true;
   attempt.call->set_reading_paused(true);
 }
 
--- a/src/core/router/attempt_runner.h
+++ b/src/core/router/attempt_runner.h
@@ -55,6 +55,8 @@
 
   /// Counts a sent attempt.
   void on_request_written() override { ++sent_attempts_; }
+  /// Restarts the idle timeout of a stream: its node is writing an event slowly.
+  void on_attempt_progress(AttemptState& attempt) override;
   /// Forwards one event of the stream to the client, and pauses reading if the client is slow.
   void on_attempt_data(AttemptState& attempt, std::string_view data) override;
   /// Classifies the result, reports it and destroys the attempt.
--- a/src/core/router/request_state.h
+++ b/src/core/router/request_state.h
@@ -30,6 +30,8 @@
   virtual ~AttemptListener() = default;
   /// Called when the kernel has accepted the last byte of a request.
   virtual void on_request_written() = 0;
+  /// Called when a part of the answer's stream has arrived that may end no event.
+  virtual void on_attempt_progress(AttemptState& attempt) = 0;
   /// Called with each event of the answer's stream.
   virtual void on_attempt_data(AttemptState& attempt, std::string_view data) = 0;
   /// Called when the attempt has ended; `attempt` is destroyed before this returns.
@@ -60,6 +62,8 @@
   /// Forwards the event to the listener.
   void on_request_written() override { listener.on_request_written(); }
   /// Forwards the event to the listener.
+  void on_progress() override { listener.on_attempt_progress(*this); }
+  /// Forwards the event to the listener.
   void on_data(std::string_view data) override { listener.on_attempt_data(*this, data); }
   /// Forwards the result to the listener. The attempt is destroyed before this returns.
   void on_done(AttemptResult result) override { listener.on_attempt_done(*this, std::move(result)); }
@@ -79,6 +83,7 @@
   Micros sent_at;                ///< when the attempt was started
   bool streaming = false;        ///< the first event of the answer has arrived
   Micros last_data_at{};         ///< when data of the stream arrived last
+  bool reading_paused = false;   ///< nothing is read from the node until the client has taken more
   bool release_ordered = false;  ///< what the prefill may leave is being released, since its call was closed
   std::unique_ptr<Call> call;    ///< the call to the node; null until it is made
   ScopedTimer timer;             ///< the attempt's timeout or, while streaming, the stream's idle timeout
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -208,6 +208,8 @@
   virtual ~AttemptHandler() = default;
   /// Called when the kernel has accepted the last byte of the request.
   virtual void on_request_written() = 0;
+  /// Called when a part of the answer's stream has arrived that may end no event.
+  virtual void on_progress() {}
   /// Called with each event of the answer's stream. The Call may be destroyed before this returns.
   virtual void on_data(std::string_view data) = 0;
   /// Called when the attempt has ended: at most once, and never before start_attempt or adopt_stream has
--- a/src/grpc/node_client/calls.cpp
+++ b/src/grpc/node_client/calls.cpp
@@ -48,6 +48,7 @@
     bool declined;  // before it ran
     std::string load;
   };
+  virtual void progress() {}                         // a part of a message has come
   virtual bool message(std::string_view bytes) = 0;  // false: it can't be read
   virtual void ended(const End& end) = 0;            // this call may be gone after it
   void forget_load() { end_.load.clear(); }
@@ -75,6 +76,7 @@
     // Danger: whoever is told of an event may let go of this call, with more events behind it in the piece.
     const std::shared_ptr<MessageReader> reader = reader_;
     const std::weak_ptr<bool> here = here_;
+    progress();
     bool readable = true;
     const auto fault = reader->feed(piece, [&](std::string_view bytes) {
       if (readable && !here.expired())
@@ -126,6 +128,10 @@
     request.set_body(*prompt.body);
     return request;
   }
+  void progress() override {
+    if (events_)
+      attempt_.on_progress();
+  }
   bool message(std::string_view bytes) override {
     v1::RunEvent event;
     if (!event.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
--- a/src/http/node_client.cpp
+++ b/src/http/node_client.cpp
@@ -113,6 +113,8 @@
         text_ += piece;
       return;
     }
+    if (events_ > 0)
+      attempt_.on_progress();
     if (!stream_.feed(piece))
       done(events_ ? Outcome::reset : Outcome::error, "the event stream is malformed" + after());
   }
--- a/tests/core/grpc_client_test.cpp
+++ b/tests/core/grpc_client_test.cpp
@@ -12,12 +12,14 @@
 
 struct RecordingHandler : AttemptHandler {
   void on_request_written() override {}
-  void on_data(std::string_view) override {}
+  void on_progress() override { ++parts; }
+  void on_data(std::string_view) override { ++events; }
   void on_done(AttemptResult result) override {
     outcome = result.outcome;
     call.reset();
   }
   std::optional<Outcome> outcome;
+  int parts = 0, events = 0;
   std::unique_ptr<Call> call;
 };
 
@@ -89,6 +91,25 @@
   EXPECT_FALSE(kept.call->not_sent());
 }
 
+// Guards against cutting a stream whose node is still writing a message, slowly.
+TEST_F(GrpcUnsentCall, ReportsThePartsOfAMessageThatArrives) {
+  RecordingHandler handler;
+  start_attempt(handler, "q");
+  accept_connection(8);
+  ASSERT_TRUE(peer->until([&] { return peer->over(1); }));
+  v1::RunEvent event;
+  event.set_data("an event");
+  const string message = grpc::frame(event.SerializeAsString());
+  peer->send(frame(HEADERS, END_HEADERS, 1,
+                   peer->block({{":status", "200"}, {"content-type", "application/grpc"}})) +
+             frame(DATA, NONE, 1, message));
+  ASSERT_TRUE(peer->until([&] { return handler.events == 1; }));
+  const int parts = handler.parts;
+  peer->send(frame(DATA, NONE, 1, message.substr(0, 3)));
+  EXPECT_TRUE(peer->until([&] { return handler.parts > parts; }));
+  EXPECT_EQ(handler.events, 1);
+}
+
 TEST_F(GrpcUnsentCall, IsNotWrittenWhenDestroyedWhileWaitingForAStream) {
   RecordingHandler first, destroyed, last;
   start_attempt(first, "first");
--- a/tests/core/router_clients_test.cpp
+++ b/tests/core/router_clients_test.cpp
@@ -78,5 +78,35 @@
   EXPECT_TRUE(bed.core.idle());
 }
 
+// Guards against cutting a stream whose node writes an event slowly.
+struct SlowStream : ::testing::Test {
+  SlowStream() {
+    logging::set_level(logging::Level::error);
+    bed.take();
+    bed.done(Outcome::prefill_done);
+    bed.nodes.begun.back().attempt->on_data("a");
+  }
+  Bed bed;
+};
+
+TEST_F(SlowStream, IsNotCutWhileItsNodeWritesAnEvent) {
+  for (int part = 0; part < 3; ++part) {
+    bed.pass(4s);
+    bed.nodes.begun.back().attempt->on_progress();
+  }
+  EXPECT_EQ(bed.client.answers, 0);
+  bed.pass(4500ms);
+  EXPECT_EQ(bed.client.seen, "a|cut");
+}
+
+// A part that arrives after reading was paused must not start the time in which the next one is due.
+TEST_F(SlowStream, IsNotCutWhileItsClientIsSlow) {
+  bed.client.slow = true;
+  bed.nodes.begun.back().attempt->on_data("b");
+  bed.nodes.begun.back().attempt->on_progress();
+  bed.pass(10s);
+  EXPECT_EQ(bed.client.answers, 0);
+}
+
 }  // namespace
 }  // namespace lemonroute::test
