End a health watch that begins during the shutdown

Cause: HealthMethod ended watches when the status changed to draining; one that began later got no such change, and the server waits for all open calls. Change: the first report of a watch follows the rule of the later ones: with the report that the server drains the watch ends with UNAVAILABLE, for an unknown service too. Evidence: ProgramDrainGrpc.EndsAHealthWatchThatBeginsDuringTheShutdown failed before and passes.

--- a/src/ops/health_service.cpp
+++ b/src/ops/health_service.cpp
@@ -36,15 +36,18 @@
       return call_.finish(grpc::Status::ok, "");
     }
     // A watch of an unknown service stays open: the service may come later.
-    call_.send_message(known ? answer(status_.state())
-                             : answer(health::HealthCheckResponse::SERVICE_UNKNOWN));
-    handle_ = status_.watch([this, known](State state) {
-      if (known)
-        call_.send_message(answer(state));
-      // The last word of a server that ends: a watch left open would keep it from ending.
-      if (state == State::draining)
-        call_.finish(grpc::Status::unavailable, "draining");
-    });
+    if (!known)
+      call_.send_message(answer(health::HealthCheckResponse::SERVICE_UNKNOWN));
+    report(status_.state(), known);
+    if (status_.state() != State::draining)
+      handle_ = status_.watch([this, known](State state) { report(state, known); });
+  }
+  // A watch ends with the report that the server drains: one left open would keep the process from ending.
+  void report(State state, bool known) {
+    if (known)
+      call_.send_message(answer(state));
+    if (state == State::draining)
+      call_.finish(grpc::Status::unavailable, "draining");
   }
 
   Status& status_;
--- a/tests/core/program_drain_test.cpp
+++ b/tests/core/program_drain_test.cpp
@@ -2,6 +2,7 @@
 // process is killed.
 #include "conformance/peer.h"
 #include "program_fixture.h"
+#include "proto/health.pb.h"
 #include "proto/lemonroute.pb.h"
 
 namespace lemonroute::test {
@@ -106,11 +107,11 @@
     peer->send(conformance::preface + conformance::frame(conformance::SETTINGS, conformance::NONE, 0, ""));
     peer->settle();
   }
-  void open_call(std::uint32_t stream) {
+  void open_call(std::uint32_t stream, const std::string& path = "/lemonroute.v1.Drafting/Generate") {
     peer->send(conformance::frame(conformance::HEADERS, conformance::END_HEADERS, stream,
                                   peer->block({{":method", "POST"},
                                                {":scheme", "http"},
-                                               {":path", "/lemonroute.v1.Drafting/Generate"},
+                                               {":path", path},
                                                {":authority", "x"},
                                                {"content-type", "application/grpc"},
                                                {"te", "trailers"}})));
@@ -141,5 +142,25 @@
   EXPECT_EQ(accept_at_node(SteadyClock::now() + 300ms), -1);
 }
 
+// Guards against a health watch that begins during the shutdown, is never ended, and keeps the process.
+TEST_F(ProgramDrainGrpc, EndsAHealthWatchThatBeginsDuringTheShutdown) {
+  program->drain();
+  ::grpc::health::v1::HealthCheckRequest known, unknown;
+  unknown.set_service("other");
+  std::uint32_t stream = 1;
+  for (const auto& request : {known, unknown}) {
+    open_call(stream, "/grpc.health.v1.Health/Watch");
+    peer->send(conformance::frame(conformance::DATA, conformance::END_STREAM, stream,
+                                  grpc::frame(request.SerializeAsString())));
+    ASSERT_TRUE(peer->until([&] { return peer->over(stream); }));
+    EXPECT_EQ(peer->field(stream, "grpc-status"), "14");  // UNAVAILABLE
+    stream += 2;
+  }
+  const auto give_up_at = SteadyClock::now() + 5s;
+  while (!event_base_got_break(loop.base()) && SteadyClock::now() < give_up_at)
+    peer->turn();
+  EXPECT_TRUE(event_base_got_break(loop.base()));  // it has ended by itself
+}
+
 }  // namespace
 }  // namespace lemonroute::test
