Bound how long a dismissed gRPC connection may wait for its client

Cause: a connection that is dismissed while the end of an answer is unsent left the list of those that may be dismissed and waited for its client without a bound; one that takes nothing would have kept its place, where it was closed at once before. Measured: GrpcFront.* pass with sanitizers. The bound itself has no test: in three tries the kernel took the whole answer of a client that reads nothing, so the connection was closed at once.

--- a/src/grpc/server.h
+++ b/src/grpc/server.h
@@ -97,7 +97,7 @@
       if (!session->has_unsent_answers())
         return session->close();
       admission.busy(*this);
-      session->go_away();
+      session->end_after_answers();
     }
     net::Admission& admission;
     std::unique_ptr<Session> session;
--- a/src/grpc/session.cpp
+++ b/src/grpc/session.cpp
@@ -15,6 +15,7 @@
       ping_timer_(loop, [this] { unheard(); }),
       look_timer_(loop, [this] { look(); }),
       last_timer_(loop, [this] { last_call(); }),
+      end_timer_(loop, [this] { close(); }),
       connection_(new net::Connection(loop, accepted, *this)) {
   connect_timer_.start(limits.greeting_timeout);  // guards against peers that connect and say nothing
   look_timer_.start(look_again);
@@ -34,6 +35,7 @@
       ping_timer_(loop, [this] { unheard(); }),
       look_timer_(loop, [this] { look(); }),
       last_timer_(loop, [this] { last_call(); }),
+      end_timer_(loop, [this] { close(); }),
       connection_(new net::Connection(loop, net::SocketAddress(address), *this)) {
   connect_timer_.start(connection_->started() ? limits.connect_timeout : std::chrono::microseconds(0));
   start(false);
@@ -112,10 +114,15 @@
   flush_soon();
 }
 
+void Session::end_after_answers() {
+  go_away();
+  end_timer_.start(guard_.limits().taking);
+}
+
 void Session::close() {
   if (std::exchange(closed_, true))
     return;
-  for (net::Timer* timer : {&connect_timer_, &ping_timer_, &look_timer_, &last_timer_})
+  for (net::Timer* timer : {&connect_timer_, &ping_timer_, &look_timer_, &last_timer_, &end_timer_})
     timer->stop();
   if (connection_->started())
     connection_->end_sending();
--- a/src/grpc/session.h
+++ b/src/grpc/session.h
@@ -100,6 +100,9 @@
   // Takes no more streams. A server says so in two steps (RFC 9113, 6.8): first that it will, then, once
   // calls that were under way have arrived, which was the last; so none of them is lost.
   void go_away();
+  /// Takes no more streams, and closes the connection once its answers have left, or when the time for some
+  /// of an answer to be taken is over.
+  void end_after_answers();
   void close();  // now; open streams are told
 
  private:
@@ -180,7 +183,7 @@
   std::uint32_t next_id_ = 1;       // of a client's next request
   std::int32_t last_counted_ = -1;  // of a server, once it has said which stream was the last
   std::shared_ptr<Session*> self_;  // outlived by weak references of deferred jobs
-  net::Timer connect_timer_, ping_timer_, look_timer_, last_timer_;
+  net::Timer connect_timer_, ping_timer_, look_timer_, last_timer_, end_timer_;
   std::unique_ptr<nghttp2_session, Free> session_;
   std::unique_ptr<net::Connection> connection_;
 };
